--- /dev/null
+++ b/node/src/dispatcher.rs
@@ -0,0 +1,394 @@
+//! The core. One task owns the decision module, the clock, the timers and the table of requests; fronts
+//! reach it through a queue only. It knows no wire: events come in, actions go out through [`Front`].
+
+use crate::counters::Counters;
+use bytes::Bytes;
+use dewlever::api::{
+    Action, Ending, Event, LoadReport, Outcome, Request, RequestId, Settings, SettingsError, Time, Trace,
+    WorkerEntry, WorkerId,
+};
+use dewlever::Policy;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::time::{sleep_until, Instant};
+
+/// One attempt at one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Tag {
+    /// The request, by the core's own number.
+    pub id: RequestId,
+    /// Which of its attempts, from 0 on.
+    pub attempt: u32,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// What a worker made.
+    Served(Bytes),
+    /// Not done; trying again after this time is harmless.
+    Refused(Duration),
+    /// Failed, with no promise about what it did.
+    Failed,
+}
+
+/// What carries the core's decisions out on a wire. It decides nothing.
+pub trait Front: Send + 'static {
+    /// What came in and the way back to who asked.
+    type Job: Send + 'static;
+    /// The hold on an attempt that is out.
+    type Attempt: Send + 'static;
+
+    /// Starts an attempt. Exactly one [`Handle::ended`] follows for this tag, whatever happens.
+    fn send(&mut self, tag: Tag, job: &Self::Job, worker: WorkerId, until: Instant) -> Self::Attempt;
+    /// Ends an attempt early. Its `ended` says `why`, unless another outcome was under way.
+    fn stop(&mut self, attempt: Self::Attempt, why: Outcome);
+    /// Gives the one final answer.
+    fn answer(&mut self, job: Self::Job, answer: Answer);
+    /// Closes idle connections to a worker.
+    fn release(&mut self, _worker: WorkerId) {}
+    /// Asks for the worker list again.
+    fn watch(&mut self) {}
+}
+
+/// What reaches the core.
+enum Input<J> {
+    Accept(Request, J),
+    Left(RequestId),
+    Started(Tag),
+    Progress(Tag, f64),
+    Ended(Tag, Outcome, Option<LoadReport>, Bytes),
+    List(Vec<WorkerEntry>, bool),
+    ListFailed,
+}
+
+/// The way into a core's queue. The queue is not bounded in itself: what can wait in it is bounded by the
+/// connections that a front accepts.
+pub struct Handle<J> {
+    queue: UnboundedSender<Input<J>>,
+    numbers: Arc<AtomicU64>,
+}
+
+impl<J> Clone for Handle<J> {
+    fn clone(&self) -> Self {
+        Handle { queue: self.queue.clone(), numbers: self.numbers.clone() }
+    }
+}
+
+impl<J> Handle<J> {
+    /// Hands a request in; its `id` is set here and returned.
+    pub fn accept(&self, request: Request, job: J) -> RequestId {
+        let id = self.numbers.fetch_add(1, Ordering::Relaxed);
+        self.put(Input::Accept(Request { id, ..request }, job));
+        id
+    }
+
+    /// The client of this request has gone; after its answer this changes nothing.
+    pub fn left(&self, id: RequestId) {
+        self.put(Input::Left(id));
+    }
+
+    /// The worker has started the job.
+    pub fn started(&self, tag: Tag) {
+        self.put(Input::Started(tag));
+    }
+
+    /// This part of the job is done.
+    pub fn progress(&self, tag: Tag, done: f64) {
+        self.put(Input::Progress(tag, done));
+    }
+
+    /// An attempt has ended, and with `Ok` this is its result.
+    pub fn ended(&self, tag: Tag, outcome: Outcome, report: Option<LoadReport>, result: Bytes) {
+        self.put(Input::Ended(tag, outcome, report, result));
+    }
+
+    /// News of the workers: all of them, or the changed lines.
+    pub fn list(&self, entries: Vec<WorkerEntry>, full: bool) {
+        self.put(Input::List(entries, full));
+    }
+
+    /// The worker list could not be had.
+    pub fn list_failed(&self) {
+        self.put(Input::ListFailed);
+    }
+
+    fn put(&self, input: Input<J>) {
+        // Fails only once the core is gone, at the end of the process or a test: nobody is left to ask.
+        let _ = self.queue.send(input);
+    }
+}
+
+/// The other end of the queue, for [`Dispatcher::run`].
+pub struct Inbox<J>(UnboundedReceiver<Input<J>>);
+
+/// A queue into a core.
+pub fn queue<J>() -> (Handle<J>, Inbox<J>) {
+    let (sender, receiver) = unbounded_channel();
+    (Handle { queue: sender, numbers: Arc::new(AtomicU64::new(1)) }, Inbox(receiver))
+}
+
+/// Unix time at the start plus monotonic time since: it never runs backwards.
+#[derive(Clone, Copy)]
+struct Clock {
+    unix_us: Time,
+    start: Instant,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix_us: unix.as_micros() as Time, start: Instant::now() }
+    }
+
+    fn now(&self) -> Time {
+        self.unix_us + self.start.elapsed().as_micros() as Time
+    }
+}
+
+/// A request in the table: until it is answered and no attempt is out.
+struct Entry<F: Front> {
+    job: Option<F::Job>, // until its answer
+    until: Instant,
+    sent: u32,
+    out: Option<Option<F::Attempt>>, // an attempt is out; the inner hold is gone once it was told to stop
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer,
+    Deadline(RequestId),
+}
+
+/// The core with its front.
+pub struct Dispatcher<F: Front> {
+    policy: Policy,
+    max_attempts: u32,
+    front: F,
+    clock: Clock,
+    due: BinaryHeap<Reverse<(Instant, Due)>>,
+    table: HashMap<RequestId, Entry<F>>,
+    events: VecDeque<Event>,
+    counters: Arc<Counters>,
+}
+
+impl<F: Front> Dispatcher<F> {
+    /// A core that knows its settings and no worker yet.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        front: F,
+        counters: Arc<Counters>,
+    ) -> Result<Self, SettingsError> {
+        let clock = Clock::start();
+        let max_attempts = settings.max_attempts;
+        let policy = Policy::new(settings, seed, clock.now())?;
+        let (due, table, events) = Default::default();
+        Ok(Dispatcher { policy, max_attempts, front, clock, due, table, events, counters })
+    }
+
+    /// Runs until every handle is dropped.
+    pub async fn run(mut self, mut inbox: Inbox<F::Job>) {
+        loop {
+            // Looked at before each input, so that a full queue can't starve the timers.
+            self.ring();
+            let next = self.due.peek().map(|Reverse((at, _))| *at);
+            let timer = async {
+                match next {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                input = inbox.0.recv() => match input {
+                    Some(input) => self.input(input),
+                    None => return,
+                },
+                () = timer => {}
+            }
+        }
+    }
+
+    fn ring(&mut self) {
+        while let Some(&Reverse((at, due))) = self.due.peek() {
+            if at > Instant::now() {
+                return;
+            }
+            self.due.pop();
+            match due {
+                Due::Timer => self.tell(Event::Timer),
+                Due::Deadline(id) => self.deadline(id),
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input<F::Job>) {
+        match input {
+            Input::Accept(request, job) => {
+                self.counters.taken.add();
+                let until = Instant::now() + Duration::from_micros(request.left_us);
+                let entry = Entry { job: Some(job), until, sent: 0, out: None };
+                self.table.insert(request.id, entry);
+                self.due.push(Reverse((until, Due::Deadline(request.id))));
+                self.tell(Event::Accept(request));
+            }
+            Input::Left(id) => {
+                if self.table.get_mut(&id).is_some_and(|e| e.job.take().is_some()) {
+                    self.counters.left.add();
+                    self.tell(Event::ClientLeft { id });
+                    self.tidy(id);
+                }
+            }
+            Input::Started(tag) if self.is_out(tag) => {
+                self.tell(Event::Started { id: tag.id, attempt: tag.attempt })
+            }
+            Input::Progress(tag, done) if self.is_out(tag) => {
+                self.tell(Event::Progress { id: tag.id, attempt: tag.attempt, done })
+            }
+            Input::Started(_) | Input::Progress(..) => {}
+            Input::Ended(tag, outcome, report, result) => self.ended(tag, outcome, report, result),
+            Input::List(entries, full) => {
+                self.tell(if full { Event::FullList(entries) } else { Event::ListChanges(entries) });
+            }
+            Input::ListFailed => self.tell(Event::ListFailed),
+        }
+    }
+
+    fn is_out(&self, tag: Tag) -> bool {
+        self.table.get(&tag.id).is_some_and(|e| e.out.is_some() && e.sent == tag.attempt + 1)
+    }
+
+    /// Guards against two outcomes of one attempt: the first one counts.
+    fn ended(&mut self, tag: Tag, outcome: Outcome, report: Option<LoadReport>, result: Bytes) {
+        if !self.is_out(tag) {
+            return log::warn!("attempt {} of request {} ended twice", tag.attempt, tag.id);
+        }
+        self.counters.ended(outcome);
+        let Some(entry) = self.table.get_mut(&tag.id) else { return };
+        entry.out = None;
+        if outcome == Outcome::Ok {
+            if let Some(job) = entry.job.take() {
+                self.counters.served.add();
+                self.front.answer(job, Answer::Served(result));
+            }
+        }
+        let (id, attempt, last) = (tag.id, tag.attempt, entry.job.is_none());
+        self.tell(Event::Ended(Ending { id, attempt, outcome, last, report }));
+        self.tidy(id);
+    }
+
+    /// The client stops waiting now: an attempt that is out has timed out, and the module fails the request.
+    fn deadline(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(&id) else { return };
+        match &mut entry.out {
+            Some(hold) => {
+                if let Some(hold) = hold.take() {
+                    self.front.stop(hold, Outcome::Timeout);
+                }
+            }
+            // Guards the rule of one answer: the module answers what it holds before this, or ought to.
+            None => {
+                if let Some(job) = entry.job.take() {
+                    log::error!("request {id} was held to its deadline");
+                    self.counters.failed.add();
+                    self.front.answer(job, Answer::Failed);
+                    self.tell(Event::ClientLeft { id });
+                }
+                self.tidy(id);
+            }
+        }
+    }
+
+    fn tidy(&mut self, id: RequestId) {
+        if self.table.get(&id).is_some_and(|e| e.job.is_none() && e.out.is_none()) {
+            self.table.remove(&id);
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.events.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.policy.handle(self.clock.now(), &event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, worker } => self.send(id, worker),
+            Action::Refuse { id, retry_after_us } => {
+                if let Some(job) = self.finish(id) {
+                    self.counters.refused.add();
+                    self.front.answer(job, Answer::Refused(Duration::from_micros(retry_after_us)));
+                }
+            }
+            Action::Fail { id } => {
+                if let Some(job) = self.finish(id) {
+                    self.counters.failed.add();
+                    self.front.answer(job, Answer::Failed);
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                let entry = self.table.get_mut(&id).filter(|e| e.sent == attempt + 1);
+                if let Some(hold) = entry.and_then(|e| e.out.as_mut()).and_then(Option::take) {
+                    self.front.stop(hold, Outcome::Cancelled);
+                }
+            }
+            Action::Timer { after_us } => {
+                let at = Instant::now() + Duration::from_micros(after_us);
+                self.due.push(Reverse((at, Due::Timer)));
+            }
+            Action::Watch => self.front.watch(),
+            Action::Release { worker } => self.front.release(worker),
+            Action::Trace(trace) => say(&trace),
+            // The settings offer neither; a module that asks all the same gets nothing.
+            Action::Probe { .. } | Action::Tell { .. } => log::error!("the module may not probe or tell"),
+        }
+    }
+
+    fn finish(&mut self, id: RequestId) -> Option<F::Job> {
+        let job = self.table.get_mut(&id).and_then(|e| e.job.take());
+        self.tidy(id);
+        job
+    }
+
+    fn send(&mut self, id: RequestId, worker: WorkerId) {
+        let max = self.max_attempts;
+        let may = |e: &&mut Entry<F>| e.out.is_none() && e.sent < max && e.until > Instant::now();
+        let Some(entry) = self.table.get_mut(&id).filter(may) else { return self.moot(id) };
+        let Some(job) = &entry.job else { return self.moot(id) };
+        let tag = Tag { id, attempt: entry.sent };
+        entry.sent += 1;
+        entry.out = Some(Some(self.front.send(tag, job, worker, entry.until)));
+        self.counters.sent.add();
+    }
+
+    /// Guards the wire against a send that may not go out; the module hears that it never did.
+    fn moot(&mut self, id: RequestId) {
+        self.counters.moot.add();
+        let Some(entry) = self.table.get_mut(&id).filter(|e| e.out.is_none()) else { return };
+        let (attempt, last) = (entry.sent, entry.job.is_none());
+        entry.sent += 1;
+        let ending = Ending { id, attempt, outcome: Outcome::Moot, last, report: None };
+        self.events.push_back(Event::Ended(ending));
+    }
+}
+
+fn say(trace: &Trace) {
+    match trace {
+        Trace::Silent(w) => log::warn!("worker {:016x} is silent: no new jobs but a trickle", w.0),
+        Trace::Erring(w) => log::warn!("worker {:016x} fails jobs: no new jobs but a trickle", w.0),
+        Trace::Trusted(w) => log::info!("worker {:016x} is trusted again", w.0),
+        Trace::Throttled(u, offered) => {
+            log::info!("throttling: {u:.1} jobs/s admitted of {offered:.1} offered")
+        }
+        Trace::ListFailed => log::warn!("worker list not to be had: asking again"),
+    }
+}
--- /dev/null
+++ b/node/src/platform/attempt.rs
@@ -0,0 +1,199 @@
+//! One attempt at a worker, from its connection to its one outcome.
+
+use super::fields::{self, News};
+use super::pool::{Connection, Pool};
+use super::Job;
+use crate::config::Names;
+use crate::dispatcher::{Handle, Tag};
+use bytes::{Bytes, BytesMut};
+use dewlever::api::{LoadReport, Outcome, WorkerId};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response, StatusCode, Uri};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{timeout, Instant};
+
+/// A line with a result of 64 KiB, escaped at its worst, and a load report.
+const LINE_MAX: usize = 512 * 1024;
+/// For which a finished answer's end is awaited before its connection is given up.
+const TAIL_WAIT: Duration = Duration::from_secs(1);
+
+/// What goes on unchanged.
+pub struct Parcel {
+    pub id: HeaderValue,
+    pub key: Option<HeaderValue>,
+    pub target: PathAndQuery,
+    pub body: Bytes,
+}
+
+/// What attempts share.
+pub struct Carrier {
+    pub handle: Handle<Job>,
+    pub pool: Arc<Pool>,
+    pub names: Arc<Names>,
+}
+
+struct End {
+    outcome: Outcome,
+    report: Option<LoadReport>,
+    result: Bytes,
+    rest: Option<Incoming>, // what is left to read before the connection is free again
+}
+
+impl End {
+    fn plain(outcome: Outcome) -> End {
+        End { outcome, report: None, result: Bytes::new(), rest: None }
+    }
+}
+
+impl Carrier {
+    /// Carries one attempt through and reports its one outcome.
+    pub async fn carry(
+        self: Arc<Self>,
+        tag: Tag,
+        parcel: Parcel,
+        worker: WorkerId,
+        until: Instant,
+        stopped: oneshot::Receiver<Outcome>,
+    ) {
+        let mut connection = None;
+        let end = tokio::select! {
+            biased;
+            end = self.exchange(tag, &parcel, worker, until, &mut connection) => end,
+            // A sender that is dropped unused means that the core has ended.
+            why = stopped => End::plain(why.unwrap_or(Outcome::Cancelled)),
+        };
+        let End { outcome, report, result, rest } = end;
+        let Some(rest) = rest else {
+            // Guards the rule of one copy: the connection is closed before the core may send a new one.
+            if let Some(connection) = connection {
+                connection.close().await;
+            }
+            return self.handle.ended(tag, outcome, report, result);
+        };
+        self.handle.ended(tag, outcome, report, result);
+        let Some(mut connection) = connection else { return };
+        let clean = timeout(TAIL_WAIT, ends(rest)).await.unwrap_or(false);
+        if clean && connection.sender.ready().await.is_ok() {
+            self.pool.keep(worker, connection);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        tag: Tag,
+        parcel: &Parcel,
+        worker: WorkerId,
+        until: Instant,
+        place: &mut Option<Connection>,
+    ) -> End {
+        let Some(connection) = self.pool.connect(worker).await else {
+            return End::plain(Outcome::ConnectFailed);
+        };
+        let connection = place.insert(connection);
+        let request = parcel.request(connection, until);
+        match connection.sender.send_request(request).await {
+            Ok(response) => self.read(tag, parcel, response).await,
+            Err(e) => {
+                log::debug!("attempt {tag:?}: {e}");
+                let whole = connection.meter.lock().map_or(true, |w| w.whole(parcel.body.len()));
+                // Unless some of the request surely is still here, it may have run.
+                End::plain(if whole { Outcome::Reset } else { Outcome::ConnectFailed })
+            }
+        }
+    }
+
+    async fn read(&self, tag: Tag, parcel: &Parcel, response: Response<Incoming>) -> End {
+        let (head, mut body) = response.into_parts();
+        if head.status != StatusCode::OK {
+            let not_run = head.headers.get("x-not-run").is_some_and(|v| v == "1");
+            let outcome = match head.status {
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
+                _ => Outcome::Error,
+            };
+            let report = fields::load_header(&head.headers, &self.names);
+            return End { outcome, report, result: Bytes::new(), rest: Some(body) };
+        }
+        let mut buffer = BytesMut::new();
+        loop {
+            while let Some(at) = buffer.iter().position(|&b| b == b'\n') {
+                let line = buffer.split_to(at + 1);
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                let Some(news) = fields::news(&line, parcel.id.as_bytes(), &self.names) else {
+                    log::warn!("attempt {tag:?}: a bad line from its worker");
+                    return End::plain(Outcome::Reset);
+                };
+                let (outcome, report, result) = match news {
+                    News::Started => {
+                        self.handle.started(tag);
+                        continue;
+                    }
+                    News::Running(done) => {
+                        self.handle.progress(tag, done);
+                        continue;
+                    }
+                    News::Done(result, report) => (Outcome::Ok, report, result),
+                    News::Failed(report) => (Outcome::Error, report, Bytes::new()),
+                    News::Returned(report) => (Outcome::Full, report, Bytes::new()),
+                    News::Lost(report) => (Outcome::Reset, report, Bytes::new()),
+                };
+                return End { outcome, report, result, rest: Some(body) };
+            }
+            // Guards memory against a line without an end.
+            if buffer.len() > LINE_MAX {
+                log::warn!("attempt {tag:?}: an endless line from its worker");
+                return End::plain(Outcome::Reset);
+            }
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        buffer.extend_from_slice(data);
+                    }
+                }
+                Some(Err(_)) => return End::plain(Outcome::Reset),
+                // The last line may lack its line end.
+                None if !buffer.trim_ascii().is_empty() => buffer.extend_from_slice(b"\n"),
+                None => return End::plain(Outcome::Reset),
+            }
+        }
+    }
+}
+
+impl Parcel {
+    fn request(&self, connection: &Connection, until: Instant) -> Request<Full<Bytes>> {
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = hyper::Method::POST;
+        *request.uri_mut() = Uri::from(self.target.clone());
+        let headers = request.headers_mut();
+        headers.insert("x-request-id", self.id.clone());
+        if let Some(key) = &self.key {
+            headers.insert("idempotency-key", key.clone());
+        }
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        for (name, value) in [
+            (HOST, connection.address.to_string()),
+            ("x-deadline".parse().expect("a name"), format!("{left:.3}")),
+        ] {
+            headers.insert(name, HeaderValue::try_from(value).expect("plain text"));
+        }
+        request
+    }
+}
+
+/// Whether an answer ends without anything more.
+async fn ends(mut rest: Incoming) -> bool {
+    loop {
+        match rest.frame().await {
+            None => return true,
+            Some(Ok(frame)) if frame.data_ref().is_none_or(|d| d.trim_ascii().is_empty()) => {}
+            Some(_) => return false,
+        }
+    }
+}
--- /dev/null
+++ b/node/src/platform/mod.rs
@@ -0,0 +1,101 @@
+//! The platform's protocol: clients on one side, workers and discovery on the other. It carries the core's
+//! decisions out and makes none.
+
+mod attempt;
+pub mod fields;
+mod meter;
+mod pool;
+mod server;
+mod watch;
+
+use crate::config::{Config, Names};
+use crate::counters::Counters;
+use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
+use crate::shutdown::Phase;
+use attempt::Carrier;
+use bytes::Bytes;
+use dewlever::api::{Outcome, WorkerId};
+use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
+use pool::Pool;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch as phase};
+use tokio::time::Instant;
+
+/// Descriptors beside those of clients and workers: standard streams, poller, signals, listener, discovery.
+const FIXED: usize = 32;
+/// Connections beyond the budget that are held at once to be told so.
+const TURNED_AWAY: usize = 32;
+
+/// A request as it goes on to workers, and the way back to its client.
+pub struct Job {
+    id: HeaderValue,
+    key: Option<HeaderValue>,
+    target: PathAndQuery,
+    body: Bytes,
+    reply: oneshot::Sender<Answer>,
+}
+
+/// The platform's front.
+struct Platform {
+    carrier: Arc<Carrier>,
+}
+
+impl Front for Platform {
+    type Job = Job;
+    type Attempt = oneshot::Sender<Outcome>;
+
+    fn send(&mut self, tag: Tag, job: &Job, worker: WorkerId, until: Instant) -> Self::Attempt {
+        let (stop, stopped) = oneshot::channel();
+        let parcel = attempt::Parcel {
+            id: job.id.clone(),
+            key: job.key.clone(),
+            target: job.target.clone(),
+            body: job.body.clone(),
+        };
+        tokio::spawn(self.carrier.clone().carry(tag, parcel, worker, until, stopped));
+        stop
+    }
+
+    fn stop(&mut self, attempt: Self::Attempt, why: Outcome) {
+        // Fails where the attempt has just ended by itself; its own outcome is in the queue then.
+        let _ = attempt.send(why);
+    }
+
+    fn answer(&mut self, job: Job, answer: Answer) {
+        // Fails where the client has just gone; the core hears of that by itself.
+        let _ = job.reply.send(answer);
+    }
+
+    fn release(&mut self, worker: WorkerId) {
+        self.carrier.pool.release(worker);
+    }
+}
+
+/// Serves the platform until the last phase of the shutdown is over and all that was taken is answered.
+pub async fn serve(
+    config: Config,
+    counters: Arc<Counters>,
+    phase: phase::Receiver<Phase>,
+) -> Result<(), String> {
+    let Config { settings, names, seed, limits, .. } = config;
+    let names: Arc<Names> = Arc::new(names);
+    let (handle, inbox): (Handle<Job>, _) = queue();
+    let budget = limits.sockets.saturating_sub(FIXED + TURNED_AWAY).max(4);
+    let pool = Arc::new(Pool::new(budget / 3, names.connect_timeout, names.conn_idle, counters.clone()));
+    let carrier = Arc::new(Carrier { handle: handle.clone(), pool: pool.clone(), names: names.clone() });
+    let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
+    let core = Dispatcher::new(settings, seed, Platform { carrier }, counters.clone());
+    let core = core.map_err(|e| format!("settings: {e}"))?;
+    let listener =
+        server::listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    tokio::spawn(core.run(inbox));
+    tokio::spawn(pool.clone().sweep());
+    let lists =
+        watch::Lists { handle: handle.clone(), pool, names: names.clone(), counters: counters.clone() };
+    tokio::spawn(lists.follow(config.discovery, config.known));
+    let server = server::Server { handle, names, counters, budget: budget - budget / 3, phase };
+    server.run(listener, Duration::from_micros(longest)).await;
+    Ok(())
+}
--- /dev/null
+++ b/node/src/platform/pool.rs
@@ -0,0 +1,179 @@
+//! Connections to workers: one request at a time on each, idle ones kept for a while.
+
+use super::fields::Member;
+use super::meter::{Meter, Metered, Written};
+use crate::counters::Counters;
+use bytes::Bytes;
+use dewlever::api::WorkerId;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
+use tokio::time::{interval, timeout, Instant};
+
+/// The part of the idle limit for which a connection is kept: a request written past the limit is lost.
+const KEEP: f64 = 0.5;
+/// Answers carry 64 KiB at most; more than this is read ahead for none.
+const READ_AHEAD: usize = 128 * 1024;
+
+/// A connection to a worker. Dropped, it closes soon; see [`Connection::close`].
+pub struct Connection {
+    /// Takes the next request.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// What the socket has taken of the current one.
+    pub meter: Meter,
+    /// The other end.
+    pub address: SocketAddr,
+    driver: JoinHandle<()>,
+    idle_since: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Closes it; the socket is closed when this returns.
+    pub async fn close(mut self) {
+        self.driver.abort();
+        // An aborted driver ends with an error by design; what counts is that it has ended.
+        let _ = (&mut self.driver).await;
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+struct Line {
+    address: SocketAddr,
+    listed: bool,
+    idle: Vec<Connection>,
+}
+
+/// All idle connections, and where workers listen.
+pub struct Pool {
+    lines: Mutex<HashMap<WorkerId, Line>>,
+    permits: Arc<Semaphore>,
+    connect_timeout: Duration,
+    keep: Duration,
+    counters: Arc<Counters>,
+}
+
+impl Pool {
+    /// A pool with room for this many connections.
+    pub fn new(
+        room: usize,
+        connect_timeout: Duration,
+        idle_limit: Duration,
+        counters: Arc<Counters>,
+    ) -> Pool {
+        Pool {
+            lines: Mutex::default(),
+            permits: Arc::new(Semaphore::new(room)),
+            connect_timeout,
+            keep: idle_limit.mul_f64(KEEP),
+            counters,
+        }
+    }
+
+    fn lines(&self) -> MutexGuard<'_, HashMap<WorkerId, Line>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes note of where workers listen; idle connections to those gone or moved are closed.
+    pub fn listed(&self, members: &[Member], full: bool) {
+        let mut lines = self.lines();
+        if full {
+            lines.values_mut().for_each(|l| l.listed = false);
+        }
+        for member in members {
+            let (worker, address) = member.address();
+            let line = lines.entry(worker).or_insert_with(|| Line { address, listed: true, idle: vec![] });
+            line.listed = !member.is_gone();
+            if line.address != address {
+                line.address = address;
+                line.idle.clear();
+            }
+        }
+        lines.values_mut().filter(|l| !l.listed).for_each(|l| l.idle.clear());
+    }
+
+    /// A connection to this worker, idle or new; `None` if none comes up in time.
+    pub async fn connect(&self, worker: WorkerId) -> Option<Connection> {
+        let address = {
+            let mut lines = self.lines();
+            let line = lines.get_mut(&worker)?;
+            while let Some(connection) = line.idle.pop() {
+                let young = connection.idle_since.elapsed() < self.keep;
+                if young && connection.sender.is_ready() {
+                    if let Ok(mut written) = connection.meter.lock() {
+                        *written = Written::default();
+                    }
+                    return Some(connection);
+                }
+            }
+            line.address
+        };
+        timeout(self.connect_timeout, self.open(address)).await.ok()?
+    }
+
+    async fn open(&self, address: SocketAddr) -> Option<Connection> {
+        // Guards the descriptor limit: at it, idle connections elsewhere make way, else there is none.
+        let permit = match self.permits.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                self.lines().values_mut().for_each(|l| l.idle.clear());
+                tokio::task::yield_now().await; // lets the drivers of those let go
+                self.permits.clone().try_acquire_owned().ok()?
+            }
+        };
+        let socket = TcpStream::connect(address).await.ok()?;
+        socket.set_nodelay(true).ok()?;
+        let meter = Meter::default();
+        let io = TokioIo::new(Metered { socket, meter: meter.clone() });
+        let (mut sender, connection) =
+            Builder::new().max_buf_size(READ_AHEAD).handshake::<_, Full<Bytes>>(io).await.ok()?;
+        let driver = tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                log::debug!("connection to {address}: {e}");
+            }
+        });
+        sender.ready().await.ok()?;
+        self.counters.opened.add();
+        Some(Connection { sender, meter, address, driver, idle_since: Instant::now(), _permit: permit })
+    }
+
+    /// Keeps a connection whose last answer ended cleanly, unless its worker is gone.
+    pub fn keep(&self, worker: WorkerId, mut connection: Connection) {
+        if let Some(line) = self.lines().get_mut(&worker) {
+            if line.listed && line.address == connection.address && !connection.sender.is_closed() {
+                connection.idle_since = Instant::now();
+                line.idle.push(connection);
+            }
+        }
+    }
+
+    /// Closes the idle connections to a worker.
+    pub fn release(&self, worker: WorkerId) {
+        if let Some(line) = self.lines().get_mut(&worker) {
+            line.idle.clear();
+        }
+    }
+
+    /// Drops connections that have been idle too long or have closed, once a second.
+    pub async fn sweep(self: Arc<Self>) {
+        let mut every = interval(Duration::from_secs(1));
+        loop {
+            every.tick().await;
+            for line in self.lines().values_mut() {
+                line.idle.retain(|c| c.idle_since.elapsed() < self.keep && !c.sender.is_closed());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/platform/server.rs
@@ -0,0 +1,250 @@
+//! The clients' side: connections, requests in, one final answer out for each.
+
+use super::{fields, Job, TURNED_AWAY};
+use crate::config::Names;
+use crate::counters::Counters;
+use crate::dispatcher::{Answer, Handle};
+use crate::shutdown::Phase;
+use bytes::Bytes;
+use dewlever::api::RequestId;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, ALLOW, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+const BODY_MAX: usize = 64 * 1024;
+/// A client's head and answers in passing; bodies are read in pieces of this.
+const BUFFER: usize = 32 * 1024;
+const BACKLOG: u32 = 1024;
+/// For which a body may take to come in.
+const BODY_WAIT: Duration = Duration::from_secs(10);
+/// For which a connection over the budget is held so that its client reads the refusal.
+const TURN_AWAY_WAIT: Duration = Duration::from_secs(2);
+/// Between tries to accept where the process or the machine has no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Advice to clients over the budget.
+const SOON: Duration = Duration::from_millis(500);
+
+/// Listens; what the kernel's backlog holds counts as taken, so it is large.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+type Reply = Response<Full<Bytes>>;
+
+/// The server of one node.
+pub struct Server {
+    pub handle: Handle<Job>,
+    pub names: Arc<Names>,
+    pub counters: Arc<Counters>,
+    pub budget: usize,
+    pub phase: watch::Receiver<Phase>,
+}
+
+impl Server {
+    /// Accepts and serves; ends once the shutdown has come and all that was taken is answered.
+    pub async fn run(self, listener: TcpListener, longest: Duration) {
+        let server = Arc::new(self);
+        let (within, beyond) =
+            (Arc::new(Semaphore::new(server.budget)), Arc::new(Semaphore::new(TURNED_AWAY)));
+        let mut phase = server.phase.clone();
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                accepted = accept(&listener, &within, &beyond) => accepted,
+                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+            };
+            server.clone().take(accepted);
+        }
+        // Guards what the backlog holds at the close: it counts as taken.
+        while let Ok(accepted) = timeout(Duration::ZERO, accept(&listener, &within, &beyond)).await {
+            server.clone().take(accepted);
+        }
+        drop(listener);
+        let all = within.acquire_many(server.budget as u32);
+        // SIGKILL comes no sooner than this after SIGTERM; all deadlines have passed by then.
+        let end = Instant::now() + longest.saturating_sub(Duration::from_millis(40));
+        if timeout_at(end, all).await.is_err() {
+            log::warn!("some connections stayed open to the end");
+        }
+    }
+
+    fn take(self: Arc<Self>, (socket, permit, turn_away): Accepted) {
+        tokio::spawn(async move {
+            let served = self.connection(socket, turn_away);
+            if turn_away {
+                // Past the wait the client has had its time to send and read.
+                let _ = timeout(TURN_AWAY_WAIT, served).await;
+            } else {
+                served.await;
+            }
+            drop(permit);
+        });
+    }
+
+    async fn connection(&self, socket: TcpStream, turn_away: bool) {
+        if let Err(e) = socket.set_nodelay(true) {
+            log::debug!("client: {e}");
+        }
+        let service = service_fn(|request| async move {
+            let reply = if turn_away { self.no_room(request).await } else { self.request(request).await };
+            Ok::<_, Infallible>(reply)
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(BUFFER)
+            .keep_alive(!turn_away)
+            .serve_connection(TokioIo::new(socket), service);
+        tokio::pin!(connection);
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            ended = connection.as_mut() => return log_end(ended),
+            _ = phase.wait_for(|p| *p == Phase::Closing) => connection.as_mut().graceful_shutdown(),
+        }
+        log_end(connection.await);
+    }
+
+    async fn no_room(&self, request: Request<Incoming>) -> Reply {
+        // Read so that the close doesn't reset the answer on its way; what is wrong with it is all one here.
+        let _ = Limited::new(request.into_body(), BODY_MAX).collect().await;
+        self.counters.turned_away.add();
+        refusal(SOON)
+    }
+
+    async fn request(&self, request: Request<Incoming>) -> Reply {
+        match self.read(request).await {
+            Ok(reply) => reply,
+            Err((status, why)) => {
+                self.counters.turned_away.add();
+                let mut reply = plain(status, why);
+                if status == StatusCode::METHOD_NOT_ALLOWED {
+                    reply.headers_mut().insert(ALLOW, HeaderValue::from_static("POST"));
+                }
+                reply
+            }
+        }
+    }
+
+    async fn read(&self, request: Request<Incoming>) -> Result<Reply, (StatusCode, &'static str)> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        if path == "/up" && head.method == Method::GET {
+            let up = *self.phase.borrow() == Phase::Serving;
+            let status = if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return Ok(plain(status, if up { "up" } else { "stopping" }));
+        }
+        let known = |class: &str| self.names.classes.iter().any(|c| c == class);
+        let stated = head.headers.get("x-class").map_or(b"".as_slice(), |v| v.as_bytes());
+        let strange = std::str::from_utf8(stated).map_or(true, |c| !c.is_empty() && !known(c));
+        if !known(fields::class_in(path)) && !strange {
+            return Err((StatusCode::NOT_FOUND, "there is no such path"));
+        }
+        if head.method != Method::POST {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "jobs come by POST"));
+        }
+        if body.size_hint().lower() > BODY_MAX as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB"));
+        }
+        let fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &self.names)
+            .map_err(|why| (StatusCode::BAD_REQUEST, why))?;
+        let body = match timeout(BODY_WAIT, Limited::new(body, BODY_MAX).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                return Err((StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB"))
+            }
+            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body is malformed")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+        };
+        let target = head.uri.into_parts().path_and_query;
+        let target = target.ok_or((StatusCode::NOT_FOUND, "there is no such path"))?;
+        let (id, key) = (head.headers.get("x-request-id"), head.headers.get("idempotency-key"));
+        let id = id.ok_or((StatusCode::BAD_REQUEST, "X-Request-Id is missing"))?.clone();
+        let (reply, answer) = oneshot::channel();
+        let job = Job { id, key: key.cloned(), target, body, reply };
+        let mut client = Client { handle: &self.handle, id: self.handle.accept(fields, job), waits: true };
+        let answer = answer.await;
+        client.waits = false;
+        Ok(match answer {
+            Ok(Answer::Served(result)) => Response::new(Full::new(result)),
+            Ok(Answer::Refused(wait)) => refusal(wait),
+            // A core that has ended answers nothing more; nobody knows what became of the job.
+            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "the job failed"),
+        })
+    }
+}
+
+/// Tells the core when a client goes before its answer: hyper drops the request's future then.
+struct Client<'a> {
+    handle: &'a Handle<Job>,
+    id: RequestId,
+    waits: bool,
+}
+
+impl Drop for Client<'_> {
+    fn drop(&mut self) {
+        if self.waits {
+            self.handle.left(self.id);
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *reply.status_mut() = status;
+    reply
+}
+
+fn refusal(wait: Duration) -> Reply {
+    let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused: trying again is harmless");
+    if let Some(value) = Some(wait.as_secs_f64()).filter(|s| *s > 0.0) {
+        if let Ok(value) = HeaderValue::try_from(format!("{value:.3}")) {
+            reply.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    reply
+}
+
+fn log_end(ended: hyper::Result<()>) {
+    if let Err(e) = ended {
+        log::debug!("client: {e}");
+    }
+}
+
+type Accepted = (TcpStream, OwnedSemaphorePermit, bool);
+
+/// The next connection, and whether it is over the budget. Where even that room is used up, it waits in the
+/// kernel's backlog.
+async fn accept(listener: &TcpListener, within: &Arc<Semaphore>, beyond: &Arc<Semaphore>) -> Accepted {
+    let (permit, turn_away) = match within.clone().try_acquire_owned() {
+        Ok(permit) => (permit, false),
+        Err(_) => tokio::select! {
+            biased;
+            Ok(permit) = within.clone().acquire_owned() => (permit, false),
+            Ok(permit) = beyond.clone().acquire_owned() => (permit, true),
+        },
+    };
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => return (socket, permit, turn_away),
+            Err(e) => {
+                // Guards against a spin where no descriptor is left: the connection stays in the backlog.
+                log::warn!("cannot accept: {e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/src/bin/dewlever-drill/main.rs
+++ b/src/bin/dewlever-drill/main.rs
@@ -1,14 +1,13 @@
 //! Hosts instances of the decision module on the simulator's wire. It decides nothing.
 
 mod codec;
-mod settings;
 
 use codec::{Batch, Record, Reply, HEADER};
 use dewlever::api::{
     Action, Availability, Ending, Event, LoadReport, Outcome, Request, Trace, WorkerEntry, WorkerId,
 };
+use dewlever::settings::{self, Field};
 use dewlever::Policy;
-use settings::Field;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 
@@ -80,14 +79,7 @@
     let n = usize::from(r.u8(at)?);
     let mut report = LoadReport::default();
     for (i, field) in fields.iter().enumerate().take(n.min(4)) {
-        let value = Some(f64::from(r.f32(at + 1 + 4 * i)?)).filter(|v| v.is_finite());
-        match field {
-            Field::FreeSlots => report.free_slots = value,
-            Field::FreeMemory => report.free_memory = value,
-            Field::Queue => report.queue = value,
-            Field::InFlight => report.in_flight = value,
-            Field::Other => {}
-        }
+        field.put(&mut report, f64::from(r.f32(at + 1 + 4 * i)?));
     }
     Ok(if n == 0 { None } else { Some(report) })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod api;
 #[rustfmt::skip] // short guards stay on one line: the module has a line limit
 pub mod policy;
+pub mod settings;
 mod support;
 
 pub use policy::Policy;
--- a/src/bin/dewlever-drill/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
-//! Reads the `path=value` lines of a `hello` into the module's settings.
+//! Reads `path=value` lines, as a `hello` and a node's configuration carry them, into the module's settings.
 
-use dewlever::api::{Allowance, ClassSettings, Group, Rules, Semantics, Settings, TenantSettings};
+use crate::api::{Allowance, ClassSettings, Group, LoadReport, Rules, Semantics, Settings, TenantSettings};
 use std::collections::BTreeMap;
 
 /// What a place in a load report means.
@@ -18,14 +18,36 @@
     Other,
 }
 
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+impl Field {
+    /// Puts the value of this place into a report; what is no number counts as not told.
+    pub fn put(self, report: &mut LoadReport, value: f64) {
+        let value = Some(value).filter(|v| v.is_finite());
+        match self {
+            Field::FreeSlots => report.free_slots = value,
+            Field::FreeMemory => report.free_memory = value,
+            Field::Queue => report.queue = value,
+            Field::InFlight => report.in_flight = value,
+            Field::Other => {}
+        }
+    }
+}
+
+/// The lines, by path.
+pub struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
 
-impl Pairs<'_> {
-    fn text(&self, key: &str) -> &str {
+impl<'a> Pairs<'a> {
+    /// Takes the lines apart; one without `=` is passed over.
+    pub fn new(text: &'a str) -> Self {
+        Pairs(text.lines().filter_map(|l| l.split_once('=')).collect())
+    }
+
+    /// The value at this path; empty where there is none.
+    pub fn text(&self, key: &str) -> &str {
         self.0.get(key).copied().unwrap_or("")
     }
 
-    fn number(&self, key: &str, absent: f64) -> Result<f64, String> {
+    /// The number at this path.
+    pub fn number(&self, key: &str, absent: f64) -> Result<f64, String> {
         match self.text(key) {
             "" => Ok(absent),
             v => match v.parse::<f64>() {
@@ -35,7 +57,8 @@
         }
     }
 
-    fn span(&self, key: &str, absent: u64) -> Result<u64, String> {
+    /// The span or count at this path.
+    pub fn span(&self, key: &str, absent: u64) -> Result<u64, String> {
         let x = self.number(key, absent as f64)?;
         if x < 0.0 {
             return Err(format!("settings: {key}={x} is below zero"));
@@ -43,7 +66,8 @@
         Ok(x as u64)
     }
 
-    fn flag(&self, key: &str, absent: bool) -> Result<bool, String> {
+    /// The flag at this path.
+    pub fn flag(&self, key: &str, absent: bool) -> Result<bool, String> {
         match self.text(key) {
             "" => Ok(absent),
             "true" => Ok(true),
@@ -111,9 +135,13 @@
 
 /// Settings and the meaning of the load reports' places.
 pub fn parse(text: &str) -> Result<(Settings, Vec<Field>), String> {
-    let p = Pairs(text.lines().filter_map(|l| l.split_once('=')).collect());
+    read(&Pairs::new(text))
+}
+
+/// As `parse`, from lines already taken apart.
+pub fn read(p: &Pairs) -> Result<(Settings, Vec<Field>), String> {
     let classes =
-        (0..p.span("Profiles.count", 0)? as usize).map(|i| class(&p, i)).collect::<Result<_, _>>()?;
+        (0..p.span("Profiles.count", 0)? as usize).map(|i| class(p, i)).collect::<Result<_, _>>()?;
     let tenant = |i: usize| -> Result<TenantSettings, String> {
         Ok(TenantSettings {
             quota_per_s: p.number(&format!("Parties.{i}.QuotaPerS"), 0.0)?,
@@ -170,7 +198,7 @@
             warm_up_us: p.span("Invariants.WarmUpUs", 0)?,
             fall_multiple: p.number("Invariants.FallMultiple", 1.0)?,
             fall_us: p.span("Invariants.FallUs", 0)?,
-            allowance: allowance(&p)?,
+            allowance: allowance(p)?,
             soft_removal: p.flag("Invariants.SoftRemoval", false)?,
         },
     };
