Add the Faktory front: codec, sessions and leases on the same core, with its tests

A push is +OK once the core has taken the job; TRACK GET tells its one end state.

Checked with stand-ins, mostly on paused time: fetch then drain; reconnect and push the same lodge again; a lost worker whose late ACK is an error; lease end; refusal; password; malformed and oversized lines; random steps against a model of what each worker holds; 20 jobs on loopback sockets, each pushed twice.

Two choices of note. An ACK names a jid only, so a worker that lost a job with its connections does not get that job again: the pair of worker and jid then tells the attempt. A job refused and never handed to a worker may be pushed again as a new one; one that may have run is joined for its window.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -16,6 +16,11 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::{sleep_until, Instant};
 
+/// The number of a named thing, such as a worker: FNV-1a of its name, the same at every node.
+pub fn number_of(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// One attempt at one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Tag {
@@ -49,6 +54,8 @@
     fn stop(&mut self, attempt: Self::Attempt, why: Outcome);
     /// Gives the one final answer.
     fn answer(&mut self, job: Self::Job, answer: Answer);
+    /// The request is taken, and was not answered at once.
+    fn taken(&mut self, _job: &Self::Job) {}
     /// Closes idle connections to a worker.
     fn release(&mut self, _worker: WorkerId) {}
     /// Asks for the worker list again.
@@ -235,6 +242,9 @@
                 self.table.insert(request.id, entry);
                 self.due.push(Reverse((until, Due::Deadline(request.id))));
                 self.tell(Event::Accept(request));
+                if let Some(job) = self.table.get(&request.id).and_then(|e| e.job.as_ref()) {
+                    self.front.taken(job);
+                }
             }
             Input::Left(id) => {
                 if self.table.get_mut(&id).is_some_and(|e| e.job.take().is_some()) {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod config;
 pub mod counters;
 pub mod dispatcher;
+pub mod faktory;
 pub mod logger;
 pub mod platform;
 pub mod shutdown;
 
 use counters::Counters;
+use faktory::Operator;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::signal::unix::{signal, SignalKind};
@@ -27,23 +29,57 @@
     }
 }
 
+/// The command line: `molevale [--faktory FILE]`.
+fn operator(mut arguments: impl Iterator<Item = String>) -> Result<Option<Operator>, String> {
+    let usage = || "usage: molevale [--faktory FILE]".to_string();
+    let path = match arguments.next().as_deref() {
+        None => return Ok(None),
+        Some("--faktory") => arguments.next().ok_or_else(usage)?,
+        Some(_) => return Err(usage()),
+    };
+    if arguments.next().is_some() {
+        return Err(usage());
+    }
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    Operator::parse(&text).map(Some)
+}
+
 fn start() -> Result<(), String> {
-    let config = config::from_environment()?;
-    logger::start(&config.name);
+    let operator = operator(std::env::args().skip(1))?;
+    // Without a platform configuration, the second front may run alone.
+    let alone = operator.is_some() && std::env::var_os("RELAY_CONFIG").is_none();
+    let config = if alone { None } else { Some(config::from_environment()?) };
+    logger::start(config.as_ref().map_or("faktory", |c| &c.name));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     runtime.block_on(async {
         let phase = shutdown::on_signal().map_err(|e| format!("no signals: {e}"))?;
-        let counters = Arc::new(Counters::default());
+        let counters = [Arc::new(Counters::default()), Arc::new(Counters::default())];
+        let say = |counters: &[Arc<Counters>; 2]| {
+            log::info!("counters: platform {}", counters[0]);
+            log::info!("counters: faktory {}", counters[1]);
+        };
         let mut asked = signal(SignalKind::user_defined1()).map_err(|e| format!("no signals: {e}"))?;
         let on_request = counters.clone();
         tokio::spawn(async move {
             while asked.recv().await.is_some() {
-                log::info!("counters: {on_request}");
+                say(&on_request);
             }
         });
-        let served = platform::serve(config, counters.clone(), phase).await;
-        log::info!("counters: {counters}");
-        served
+        let platform = async {
+            match config {
+                Some(config) => platform::serve(config, counters[0].clone(), phase.clone()).await,
+                None => Ok(()),
+            }
+        };
+        let faktory = async {
+            match operator {
+                Some(operator) => faktory::serve(operator, counters[1].clone(), phase.clone()).await,
+                None => Ok(()),
+            }
+        };
+        let served = tokio::try_join!(platform, faktory);
+        say(&counters);
+        served.map(|_| ())
     })
 }
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -1,6 +1,7 @@
 //! The fields of the platform's wire: what is taken out of requests, worker lines and worker lists.
 
 use crate::config::Names;
+use crate::dispatcher::number_of;
 use bytes::Bytes;
 use dewlever::api::{Availability, LoadReport, Request, WorkerEntry, WorkerId};
 use hyper::header::HeaderMap;
@@ -9,11 +10,6 @@
 use std::borrow::Cow;
 use std::net::SocketAddr;
 
-/// The number of a worker (or a seed's, where it is no number): FNV-1a of the text, the same at every node.
-pub fn number_of(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 /// The first part of a path, which names the class.
 pub fn class_in(path: &str) -> &str {
     path.trim_start_matches('/').split('/').next().unwrap_or("")
--- /dev/null
+++ b/node/tests/faktory.rs
@@ -0,0 +1,406 @@
+//! The Faktory front, with stand-in clients and workers.
+
+mod common;
+
+use common::{faktory, job, operator, Peer};
+use molevale::counters::Counters;
+use molevale::faktory::Node;
+use molevale::shutdown::Phase;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{advance, sleep};
+
+#[tokio::test(start_paused = true)]
+async fn a_job_goes_the_whole_way_and_its_bytes_stay() {
+    let (node, counters, _phase) = faktory(None);
+    let (mut client, mut worker) = (Peer::client(&node).await, Peer::worker(&node, "w1").await);
+    worker.tell("FETCH check").await;
+    let sent = job("check", "job-00001", "k").replace(',', " , ");
+    assert_eq!(client.ask(&format!("PUSH {sent}")).await, "+OK");
+    assert_eq!(worker.reply().await, sent);
+    assert_eq!(client.state("job-00001").await, "working");
+    assert_eq!(worker.done("job-00001").await, "+OK");
+    assert_eq!(client.state("job-00001").await, "served");
+    assert!(worker.done("job-00001").await.starts_with("-ERR"), "a second ACK is stale");
+    assert_eq!((counters.taken.get(), counters.served.get(), counters.sent.get()), (1, 1, 1));
+    assert!(client.ask("INFO").await.contains("\"workers\":1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_fetches_and_then_drains_finishes_and_gets_nothing_new() {
+    let (node, counters, _phase) = faktory(None);
+    let (mut client, mut old) = (Peer::client(&node).await, Peer::worker(&node, "old").await);
+    old.tell("FETCH lodge").await;
+    assert_eq!(client.push("lodge", "job-00001", "a").await, "+OK");
+    assert!(old.reply().await.contains("job-00001"));
+    let quiet = old.ask("BEAT {\"wid\":\"old\",\"current_state\":\"quiet\"}").await;
+    assert_eq!(quiet, "{\"state\":\"quiet\"}");
+    let mut new = Peer::worker(&node, "new").await;
+    assert_eq!(client.push("lodge", "job-00002", "b").await, "+OK");
+    assert_eq!(old.fetch().await, None);
+    assert_eq!(new.fetch().await.as_deref(), Some("job-00002"));
+    assert_eq!(old.done("job-00001").await, "+OK");
+    assert_eq!(new.done("job-00002").await, "+OK");
+    assert_eq!(
+        (client.state("job-00001").await, client.state("job-00002").await),
+        ("served".into(), "served".into())
+    );
+    assert_eq!((counters.taken.get(), counters.served.get(), counters.ok.get()), (2, 2, 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_waiting_fetch_of_a_worker_that_drains_gets_nothing() {
+    let (node, _, _phase) = faktory(None);
+    let mut client = Peer::client(&node).await;
+    let (mut waits, mut beats) = (Peer::worker(&node, "w1").await, Peer::worker(&node, "w1").await);
+    waits.tell("FETCH lodge").await;
+    beats.ask("BEAT {\"wid\":\"w1\",\"current_state\":\"terminate\"}").await;
+    assert_eq!(waits.reply().await, "$-1");
+    client.push("lodge", "job-00001", "a").await;
+    assert_eq!(waits.fetch().await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lodge_pushed_again_after_a_reconnect_runs_once() {
+    let (node, counters, _phase) = faktory(None);
+    let mut first = Peer::client(&node).await;
+    first.tell(&format!("PUSH {}", job("lodge", "job-00001", "consignment"))).await;
+    drop(first); // its reply is never read
+    let (mut again, mut worker) = (Peer::client(&node).await, Peer::worker(&node, "w1").await);
+    assert_eq!(again.push("lodge", "job-00002", "consignment").await, "+OK");
+    let fetched = worker.fetch().await.unwrap();
+    assert_eq!(again.push("lodge", "job-00001", "consignment").await, "+OK", "while it runs");
+    assert_eq!(worker.done(&fetched).await, "+OK");
+    assert_eq!(again.push("lodge", "job-00003", "consignment").await, "+OK", "after its end");
+    assert_eq!(worker.fetch().await, None);
+    for jid in ["job-00001", "job-00002", "job-00003"] {
+        assert_eq!(again.state(jid).await, "served");
+    }
+    assert_eq!((counters.taken.get(), counters.served.get(), counters.sent.get()), (1, 1, 1));
+    // The record stays for the window and not for ever.
+    advance(Duration::from_secs(61)).await;
+    assert!(again.state("job-00001").await.starts_with("-ERR"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_jid_stands_for_one_job_and_keys_are_a_tenants_own() {
+    let (node, _, _phase) = faktory(None);
+    let mut client = Peer::client(&node).await;
+    let _worker = Peer::worker(&node, "w1").await;
+    assert_eq!(client.push("lodge", "job-00001", "a").await, "+OK");
+    assert!(client.push("lodge", "job-00001", "b").await.starts_with("-ERR"));
+    assert!(client.push("check", "job-00001", "a").await.starts_with("-ERR"));
+    for bad in ["\"sava\"", "\"lodge\""] {
+        let bad = job("lodge", "job-00009", "c").replace(bad, "\"nobody\"");
+        assert!(client.ask(&format!("PUSH {bad}")).await.starts_with("-ERR"), "{bad}");
+    }
+    let later = job("lodge", "job-00009", "c").replace("\"jid\"", "\"at\":\"2030-01-01T00:00:00Z\",\"jid\"");
+    assert!(client.ask(&format!("PUSH {later}")).await.starts_with("-ERR"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_lost_with_its_workers_connections_goes_elsewhere_and_the_old_answer_is_stale() {
+    let (node, counters, _phase) = faktory(None);
+    let (mut client, mut one) = (Peer::client(&node).await, Peer::worker(&node, "one").await);
+    one.tell("FETCH lodge").await;
+    client.push("lodge", "job-00001", "a").await;
+    assert!(one.reply().await.contains("job-00001"));
+    let mut two = Peer::worker(&node, "two").await;
+    drop(one);
+    assert_eq!(two.fetch().await.as_deref(), Some("job-00001"));
+    let mut back = Peer::worker(&node, "one").await;
+    assert!(back.done("job-00001").await.starts_with("-ERR"));
+    assert_eq!(two.done("job-00001").await, "+OK");
+    assert_eq!(client.state("job-00001").await, "served");
+    assert_eq!((counters.reset.get(), counters.ok.get(), counters.served.get()), (1, 1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_of_two_connections_lost_loses_no_job() {
+    let (node, counters, _phase) = faktory(None);
+    let mut client = Peer::client(&node).await;
+    let (mut fetches, mut stays) = (Peer::worker(&node, "w1").await, Peer::worker(&node, "w1").await);
+    fetches.tell("FETCH lodge").await;
+    client.push("lodge", "job-00001", "a").await;
+    assert!(fetches.reply().await.contains("job-00001"));
+    drop(fetches);
+    assert_eq!(stays.done("job-00001").await, "+OK");
+    assert_eq!((counters.reset.get(), counters.ok.get()), (0, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_a_worker_fails_is_tried_elsewhere() {
+    let (node, counters, _phase) = faktory(None);
+    let (mut client, mut one) = (Peer::client(&node).await, Peer::worker(&node, "one").await);
+    one.tell("FETCH check").await;
+    client.push("check", "job-00001", "a").await;
+    assert!(one.reply().await.contains("job-00001"));
+    let mut two = Peer::worker(&node, "two").await;
+    two.tell("FETCH check").await;
+    assert_eq!(one.ask("FAIL {\"jid\":\"job-00001\",\"errtype\":\"E\",\"message\":\"m\"}").await, "+OK");
+    assert!(two.reply().await.contains("job-00001"));
+    assert!(one.done("job-00001").await.starts_with("-ERR"), "its attempt is over");
+    assert_eq!(two.done("job-00001").await, "+OK");
+    assert_eq!(client.state("job-00001").await, "served");
+    assert_eq!((counters.error.get(), counters.ok.get(), counters.served.get()), (1, 1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_ends_at_the_deadline_and_the_job_has_its_one_end_state() {
+    let (node, counters, _phase) = faktory(None);
+    let (mut client, mut worker) = (Peer::client(&node).await, Peer::worker(&node, "w1").await);
+    worker.tell("FETCH lodge").await;
+    client.push("lodge", "job-00001", "a").await;
+    assert!(worker.reply().await.contains("job-00001"));
+    sleep(Duration::from_millis(7_900)).await;
+    assert_eq!(client.state("job-00001").await, "working");
+    sleep(Duration::from_millis(200)).await;
+    let end = client.state("job-00001").await;
+    assert!(end == "refused" || end == "failed", "{end}");
+    assert!(worker.done("job-00001").await.starts_with("-ERR"));
+    // It may have run: a repeat within the window joins it and is not sent out.
+    assert_eq!(client.push("lodge", "job-00002", "a").await, "+OK");
+    assert_eq!(worker.fetch().await, None);
+    assert_eq!(client.state("job-00002").await, end);
+    assert_eq!((counters.timeout.get(), counters.sent.get()), (1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_never_found_a_worker_is_refused_and_may_come_again() {
+    let (node, counters, _phase) = faktory(None);
+    let mut client = Peer::client(&node).await;
+    assert_eq!(client.push("lodge", "job-00001", "a").await, "+OK");
+    sleep(Duration::from_secs(8)).await;
+    assert_eq!(client.state("job-00001").await, "refused");
+    let mut worker = Peer::worker(&node, "w1").await;
+    worker.tell("FETCH lodge").await;
+    assert_eq!(client.push("lodge", "job-00001", "a").await, "+OK");
+    assert!(worker.reply().await.contains("job-00001"));
+    assert_eq!(worker.done("job-00001").await, "+OK");
+    assert_eq!((counters.taken.get(), counters.refused.get(), counters.served.get()), (2, 1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_no_command_gets_an_error_and_the_session_goes_on() {
+    let (node, _, _phase) = faktory(None);
+    let (mut client, mut worker) = (Peer::client(&node).await, Peer::worker(&node, "w1").await);
+    assert!(client.ask("PUSH {\"jid\":").await.starts_with("-MALFORMED"));
+    assert!(client.ask(&format!("PUSH {}", "x".repeat(70_000))).await.starts_with("-MALFORMED"));
+    client.0.write_all(b"PUSH \xff\xfe\r\n").await.unwrap();
+    assert!(client.reply().await.starts_with("-MALFORMED"));
+    assert!(client.ask("NONSENSE").await.starts_with("-ERR"));
+    assert!(client.ask("FETCH check").await.starts_with("-ERR"), "only workers fetch");
+    assert!(worker.ask("BEAT {\"wid\":\"w2\"}").await.starts_with("-ERR"));
+    assert_eq!(worker.ask("BEAT {\"wid\":\"w1\"}").await, "+OK");
+    assert_eq!(client.push("check", "job-00001", "a").await, "+OK");
+    client.tell("END").await;
+    assert_eq!(client.reply().await, "", "the session has ended");
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_who_knows_the_password_comes_in() {
+    let (node, _, _phase) = faktory(Some("secret"));
+    for (right, want) in [(true, "+OK"), (false, "-ERR invalid password")] {
+        let (near, far) = tokio::io::duplex(4096);
+        let node = node.clone();
+        tokio::spawn(async move { node.session(far).await });
+        let mut peer = Peer(BufReader::new(Box::new(near)));
+        let hi = peer.reply().await;
+        let hi: serde_json::Value = serde_json::from_str(hi.strip_prefix("+HI ").unwrap()).unwrap();
+        let (salt, rounds) = (hi["s"].as_str().unwrap(), hi["i"].as_u64().unwrap());
+        let secret = if right { "secret" } else { "guess" };
+        let mut hash = <sha2::Sha256 as sha2::Digest>::digest(format!("{secret}{salt}"));
+        for _ in 1..rounds {
+            hash = <sha2::Sha256 as sha2::Digest>::digest(hash);
+        }
+        let hash: String = hash.iter().map(|b| format!("{b:02x}")).collect();
+        assert_eq!(peer.ask(&format!("HELLO {{\"v\":2,\"pwdhash\":\"{hash}\"}}")).await, want);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_goes_silent_is_let_go() {
+    let (node, _, _phase) = faktory(None);
+    let mut worker = Peer::worker(&node, "w1").await;
+    sleep(Duration::from_secs(50)).await;
+    assert_eq!(worker.ask("BEAT {\"wid\":\"w1\"}").await, "+OK");
+    sleep(Duration::from_secs(50)).await;
+    assert_eq!(worker.fetch().await, None);
+    sleep(Duration::from_secs(70)).await;
+    assert_eq!(worker.reply().await, "", "its session was ended");
+    let mut client = Peer::client(&node).await;
+    assert!(client.ask("INFO").await.contains("\"workers\":0"));
+}
+
+/// On loopback: many jobs, repeats pushed on new connections, one answer for each and no double lodging.
+#[tokio::test]
+async fn on_loopback_every_job_has_one_answer_and_none_is_lodged_twice() {
+    let (phase, seen) = watch::channel(Phase::Serving);
+    let node = Node::start(&operator(60_000_000), None, Arc::new(Counters::default()), seen).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn({
+        let node = node.clone();
+        async move { node.serve(listener, 64).await }
+    });
+    let connect = |hello: String| async move {
+        let mut peer = Peer(BufReader::new(Box::new(TcpStream::connect(address).await.unwrap())));
+        peer.reply().await;
+        assert_eq!(peer.ask(&format!("HELLO {hello}")).await, "+OK");
+        peer
+    };
+    let mut works = Vec::new();
+    let (lodged, mut log) = tokio::sync::mpsc::unbounded_channel();
+    for w in 0..4 {
+        let mut worker = connect(format!("{{\"v\":2,\"wid\":\"w{w}\"}}")).await;
+        let lodged = lodged.clone();
+        works.push(tokio::spawn(async move {
+            loop {
+                if let Some(jid) = worker.fetch().await {
+                    lodged.send(jid.clone()).unwrap();
+                    assert_eq!(worker.done(&jid).await, "+OK");
+                }
+            }
+        }));
+    }
+    drop(lodged);
+    for n in 0..20 {
+        for _ in 0..2 {
+            let mut client = connect("{\"v\":2}".to_string()).await; // a new connection for each push
+            assert_eq!(client.push("lodge", &format!("job-{n:05}"), &format!("key-{n}")).await, "+OK");
+        }
+    }
+    let mut client = connect("{\"v\":2}".to_string()).await;
+    let mut served = 0;
+    for n in 0..20 {
+        let jid = format!("job-{n:05}");
+        let end = loop {
+            match client.state(&jid).await {
+                s if s == "enqueued" || s == "working" => tokio::task::yield_now().await,
+                end => break end,
+            }
+        };
+        assert!(["served", "refused", "failed"].contains(&end.as_str()), "{end}");
+        served += usize::from(end == "served");
+    }
+    phase.send_replace(Phase::Closing);
+    server.await.unwrap();
+    works.iter().for_each(|w| w.abort());
+    let mut seen = BTreeSet::new();
+    while let Some(jid) = log.recv().await {
+        assert!(seen.insert(jid.clone()), "{jid} was lodged twice");
+    }
+    assert!(served > 0 && seen.len() >= served, "{served} of {seen:?}");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push(u8),
+    Fetch(bool),
+    Ack(bool),
+    Quiet(bool),
+    Drop(bool),
+    Wait(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let w = bool::arbitrary(g);
+        match u8::arbitrary(g) % 9 {
+            0..=2 => Step::Push(u8::arbitrary(g) % 6),
+            3..=4 => Step::Fetch(w),
+            5..=6 => Step::Ack(w),
+            7 if bool::arbitrary(g) => Step::Quiet(w),
+            7 => Step::Drop(w),
+            _ => Step::Wait(u8::arbitrary(g)),
+        }
+    }
+}
+
+/// What is known of a worker's connection: the jobs that it holds, and whether it drains.
+#[derive(Default)]
+struct Model {
+    held: Vec<(String, tokio::time::Instant)>,
+    draining: bool,
+}
+
+async fn walk(steps: Vec<Step>) {
+    let (node, _, _phase) = faktory(None);
+    let mut client = Peer::client(&node).await;
+    let mut workers = Vec::new();
+    for w in 0..2 {
+        workers.push((Peer::worker(&node, &format!("w{w}-0")).await, Model::default(), 0));
+    }
+    let mut taken = BTreeMap::new();
+    for step in steps {
+        match step {
+            Step::Push(n) => {
+                let jid = format!("job-0000{n}");
+                if client.push("lodge", &jid, &jid).await == "+OK" {
+                    taken.insert(jid, String::new());
+                }
+            }
+            Step::Fetch(w) => {
+                let (peer, model, _) = &mut workers[usize::from(w)];
+                if let Some(jid) = peer.fetch().await {
+                    assert!(!model.draining, "{jid} was sent to a worker that drains");
+                    assert!(taken.contains_key(&jid));
+                    let until = tokio::time::Instant::now() + Duration::from_secs(8);
+                    model.held.push((jid.clone(), until));
+                    let live = |m: &Model| m.held.iter().filter(|(j, _)| *j == jid).count();
+                    let all: usize = workers.iter().map(|(_, m, _)| live(m)).sum();
+                    assert_eq!(all, 1, "{jid} is out twice");
+                }
+            }
+            Step::Ack(w) => {
+                let (peer, model, _) = &mut workers[usize::from(w)];
+                if let Some((jid, until)) = model.held.pop() {
+                    let reply = peer.done(&jid).await;
+                    if reply == "+OK" {
+                        assert!(tokio::time::Instant::now() < until, "{jid}'s lease was over");
+                        assert_eq!(client.state(&jid).await, "served");
+                    }
+                    assert!(peer.done(&jid).await.starts_with("-ERR"), "{jid} was done twice");
+                }
+            }
+            Step::Quiet(w) => {
+                let (peer, model, life) = &mut workers[usize::from(w)];
+                let wid = format!("w{}-{life}", u8::from(w));
+                peer.ask(&format!("BEAT {{\"wid\":\"{wid}\",\"current_state\":\"quiet\"}}")).await;
+                model.draining = true;
+            }
+            Step::Drop(w) => {
+                let life = workers[usize::from(w)].2 + 1;
+                let peer = Peer::worker(&node, &format!("w{}-{life}", u8::from(w))).await;
+                workers[usize::from(w)] = (peer, Model::default(), life);
+            }
+            Step::Wait(n) => sleep(Duration::from_millis(u64::from(n) * 20)).await,
+        }
+        for (jid, end) in &mut taken {
+            let now = client.state(jid).await;
+            let ended = ["served", "failed"].contains(&end.as_str());
+            assert!(!ended || *end == now || now.starts_with("-ERR"), "{jid}: {end} became {now}");
+            *end = now;
+        }
+    }
+    sleep(Duration::from_secs(9)).await;
+    for jid in taken.keys() {
+        let end = client.state(jid).await;
+        assert!(!["enqueued", "working"].contains(&end.as_str()), "{jid} has no end state: {end}");
+    }
+}
+
+#[test]
+fn random_steps_keep_one_lease_a_job_and_one_end_state() {
+    fn holds(steps: Vec<Step>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        runtime.unwrap().block_on(walk(steps));
+        true
+    }
+    QuickCheck::new().tests(60).quickcheck(holds as fn(Vec<Step>) -> bool);
+}
