Test the platform's front on loopback with stand-ins for clients, workers and discovery

Each test steps on what a socket or counter shows, never on a span of time: bytes that stay, bad requests, every way an attempt ends, clients that go, timeouts, drains, bad lists, SIGTERM's phases, the descriptor budget. A random-cut check covers the count of written bytes.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -68,7 +68,11 @@
         });
         let platform = async {
             match config {
-                Some(config) => platform::serve(config, counters[0].clone(), phase.clone()).await,
+                Some(config) => {
+                    let at = config.listen;
+                    let listener = platform::listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+                    platform::serve(config, listener, counters[0].clone(), phase.clone()).await
+                }
                 None => Ok(()),
             }
         };
--- a/node/src/platform/meter.rs
+++ b/node/src/platform/meter.rs
@@ -70,3 +70,27 @@
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    quickcheck! {
+        fn a_request_is_whole_with_its_last_byte(head: String, body: Vec<u8>, cuts: Vec<u8>) -> bool {
+            let head = head.replace('\n', "\r"); // a head's end only at its end
+            let mut bytes = format!("{head}\r\n\r\n").into_bytes();
+            bytes.extend_from_slice(&body);
+            let (mut written, mut at) = (Written::default(), 0);
+            for cut in cuts.iter().map(|c| usize::from(*c)).chain([bytes.len()]) {
+                let to = (at + cut).min(bytes.len());
+                written.note(&bytes[at..to]);
+                at = to;
+                if written.whole(body.len()) != (at == bytes.len()) {
+                    return false;
+                }
+            }
+            true
+        }
+    }
+}
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -8,6 +8,8 @@
 mod server;
 mod watch;
 
+pub use server::listen;
+
 use crate::config::{Config, Names};
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
@@ -20,6 +22,7 @@
 use pool::Pool;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch as phase};
 use tokio::time::Instant;
 
@@ -76,6 +79,7 @@
 /// Serves the platform until the last phase of the shutdown is over and all that was taken is answered.
 pub async fn serve(
     config: Config,
+    listener: TcpListener,
     counters: Arc<Counters>,
     phase: phase::Receiver<Phase>,
 ) -> Result<(), String> {
@@ -88,8 +92,6 @@
     let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let core = Dispatcher::new(settings, seed, Platform { carrier }, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
-    let listener =
-        server::listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
     let lists =
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -4,13 +4,17 @@
 use molevale::counters::Counters;
 use molevale::faktory::{Node, Operator};
 use molevale::shutdown::Phase;
+use molevale::{config, platform};
 use serde_json::{json, Value};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::io::{duplex, AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::sync::watch;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 
 /// Settings of two classes and one tenant, in the nested form of a node's configuration.
-pub fn settings(cancelling: bool) -> Value {
+pub fn settings(cancelling: bool, aim_us: u64) -> Value {
     json!({
         "Azs": ["ljubljana"], "HostTypes": ["gen-a"], "Siblings": 1, "ResolutionUs": 1000,
         "Stats": {"Fields": ["err_ps", "depth", "x0"]},
@@ -19,19 +23,15 @@
             "ConnectTimeoutUs": 250_000, "ConnIdleUs": 60_000_000},
         "Parties": [{"Name": "sava", "QuotaPerS": 1000.0, "Share": 1.0}],
         "Profiles": [
-            {"Name": "check", "AimUs": 1_000_000, "DeadlineUs": 5_000_000, "Worth": 2.0, "Semantics": "safe"},
-            {"Name": "lodge", "AimUs": 1_000_000, "DeadlineUs": 8_000_000, "Worth": 5.0, "Semantics": "keyed",
+            {"Name": "check", "AimUs": aim_us, "DeadlineUs": aim_us.max(5_000_000), "Worth": 2.0, "Semantics": "safe"},
+            {"Name": "lodge", "AimUs": aim_us, "DeadlineUs": aim_us.max(8_000_000), "Worth": 5.0, "Semantics": "keyed",
                 "Group": "all", "RepeatWindowUs": 20_000_000},
         ],
     })
 }
 
 pub fn operator(aim_us: u64) -> Operator {
-    let mut settings = settings(false);
-    for class in settings["Profiles"].as_array_mut().unwrap() {
-        class["AimUs"] = aim_us.into();
-        class["DeadlineUs"] = class["DeadlineUs"].as_u64().max(Some(aim_us)).into();
-    }
+    let settings = settings(false, aim_us);
     let text = toml::to_string(&json!({"listen": "127.0.0.1:0", "settings": settings})).unwrap();
     Operator::parse(&text).unwrap()
 }
@@ -118,3 +118,195 @@
         "custom": {"tenant": "sava", "key": key}})
     .to_string()
 }
+
+/// A stand-in for a worker of the platform: hands each request to the test.
+pub struct Worker(pub TcpListener);
+
+/// A request as a worker sees it, and its connection.
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+    stream: BufReader<TcpStream>,
+}
+
+impl Worker {
+    pub async fn start() -> Worker {
+        Worker(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    /// This worker's line of the list.
+    pub fn line(&self, id: &str, phase: &str) -> Value {
+        json!({"id": id, "host_port": self.0.local_addr().unwrap().to_string(), "locality": "ljubljana",
+            "flavor": "gen-a", "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0})
+    }
+
+    /// The first request on a new connection.
+    pub async fn take(&self) -> Seen {
+        let (socket, _) = self.0.accept().await.unwrap();
+        Seen::read(BufReader::new(socket)).await.expect("a request")
+    }
+}
+
+impl Seen {
+    async fn read(mut stream: BufReader<TcpStream>) -> Option<Seen> {
+        let head = head(&mut stream).await?;
+        let mut body = vec![0; length(&head)];
+        stream.read_exact(&mut body).await.ok()?;
+        Some(Seen { head, body, stream })
+    }
+
+    pub fn field(&self, name: &str) -> String {
+        field(&self.head, name).unwrap_or_default()
+    }
+
+    pub async fn write(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    pub async fn begin(&mut self) {
+        self.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+    }
+
+    pub async fn say(&mut self, line: Value) {
+        let mut line = line;
+        line["id"] = self.field("x-request-id").into();
+        line["from"] = "s-1".into();
+        self.write(&format!("{:x}\r\n{line}\n\r\n", line.to_string().len() + 1)).await;
+    }
+
+    pub async fn done(&mut self, result: &str) {
+        self.begin().await;
+        self.say(json!({"state": "started"})).await;
+        self.say(json!({"state": "done", "result": result, "load": {"x0": 2, "depth": 0}})).await;
+        self.write("0\r\n\r\n").await;
+    }
+
+    /// The next request on this connection; `None` where it is closed.
+    pub async fn next(self) -> Option<Seen> {
+        Seen::read(self.stream).await
+    }
+}
+
+/// A head, in lower case names; `None` at the end of the connection.
+async fn head(stream: &mut (impl tokio::io::AsyncBufRead + Unpin)) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    let line = head.lines().filter_map(|l| l.split_once(": ")).find(|(n, _)| n.eq_ignore_ascii_case(name))?;
+    Some(line.1.to_string())
+}
+
+fn length(head: &str) -> usize {
+    field(head, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// A stand-in for a client of the platform.
+pub struct Client(BufReader<TcpStream>);
+
+/// An answer as a client sees it.
+#[derive(Debug)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Client {
+    pub async fn connect(node: &Platform) -> Client {
+        Client(BufReader::new(TcpStream::connect(node.address).await.unwrap()))
+    }
+
+    pub async fn tell(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// The next answer; `None` where the connection is closed.
+    pub async fn answer(&mut self) -> Option<Got> {
+        let head = head(&mut self.0).await?;
+        let mut body = vec![0; length(&head)];
+        self.0.read_exact(&mut body).await.ok()?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        Some(Got { status, head, body: String::from_utf8(body).ok()? })
+    }
+
+    pub async fn ask(&mut self, text: &str) -> Got {
+        self.tell(text).await;
+        self.answer().await.expect("an answer")
+    }
+}
+
+/// A request of a client, with this body; `lodge` carries a key.
+pub fn request(class: &str, id: &str, deadline: f64, body: &str) -> String {
+    let key = if class == "lodge" { "Idempotency-Key: k1\r\n" } else { "" };
+    format!(
+        "POST /{class}?user=00ff&x=a%20b HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\n\
+         X-Class: {class}\r\nX-Tenant: sava\r\nX-Deadline: {deadline:.3}\r\n{key}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A node of the platform with a stand-in for discovery.
+pub struct Platform {
+    pub address: SocketAddr,
+    pub counters: Arc<Counters>,
+    pub phase: watch::Sender<Phase>,
+    pub served: JoinHandle<Result<(), String>>,
+    answers: mpsc::UnboundedSender<String>,
+}
+
+impl Platform {
+    /// Starts with these workers known, and this many descriptors to use.
+    pub async fn start(known: Vec<Value>, sockets: usize) -> Platform {
+        let agent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": agent.local_addr().unwrap().to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": {"revision": 1, "complete": true, "members": known}, "settings": settings(true, 60_000_000),
+        });
+        let config = config::parse(&config.to_string(), |_| None).unwrap();
+        let listener = platform::listen(config.listen).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (phase, seen) = watch::channel(Phase::Serving);
+        let counters = Arc::new(Counters::default());
+        let served = tokio::spawn(platform::serve(config, listener, counters.clone(), seen));
+        let (answers, told) = mpsc::unbounded_channel();
+        tokio::spawn(discover(agent, told));
+        Platform { address, counters, phase, served, answers }
+    }
+
+    /// Discovery's next answer, whatever the call.
+    pub fn tell(&self, body: impl ToString) {
+        self.answers.send(body.to_string()).unwrap();
+    }
+
+    /// Tells the node the whole list and returns once the node has called again, so has taken it.
+    pub async fn list(&self, revision: u64, members: Vec<Value>) {
+        let lists = self.counters.lists.get();
+        self.tell(json!({"revision": revision, "complete": true, "members": members}));
+        while self.counters.lists.get() == lists {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Answers each call with the next text it is given; silent until then.
+async fn discover(agent: TcpListener, mut told: mpsc::UnboundedReceiver<String>) {
+    loop {
+        let (socket, _) = agent.accept().await.unwrap();
+        let mut stream = BufReader::new(socket);
+        while head(&mut stream).await.is_some() {
+            let Some(body) = told.recv().await else { return std::future::pending().await };
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/platform.rs
@@ -0,0 +1,249 @@
+//! The platform's front on loopback, with stand-ins for clients, workers and discovery. Nothing here waits
+//! for a span of time: each step follows on what a socket or a counter shows.
+
+mod common;
+
+use common::{request, Client, Platform, Seen, Worker};
+use dewlever::api::Outcome;
+use molevale::shutdown::Phase;
+use serde_json::json;
+
+async fn one() -> (Worker, Platform, Client) {
+    let worker = Worker::start().await;
+    let node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
+    let client = Client::connect(&node).await;
+    (worker, node, client)
+}
+
+#[tokio::test]
+async fn a_request_goes_the_whole_way_and_its_bytes_stay() {
+    let (worker, node, mut client) = one().await;
+    client.tell(&request("lodge", "9b1f03aa5c7e2d41", 60.0, "{\"a\" : 1}")).await;
+    let mut seen = worker.take().await;
+    assert!(seen.head.starts_with("POST /lodge?user=00ff&x=a%20b HTTP/1.1\r\n"), "{}", seen.head);
+    assert_eq!(
+        (seen.field("x-request-id").as_str(), seen.body.as_slice()),
+        ("9b1f03aa5c7e2d41", &b"{\"a\" : 1}"[..])
+    );
+    assert_eq!(seen.field("idempotency-key"), "k1");
+    let left: f64 = seen.field("x-deadline").parse().unwrap();
+    assert!(left > 0.0 && left <= 60.0);
+    seen.done("a \"result\"").await;
+    let got = client.answer().await.unwrap();
+    assert_eq!((got.status, got.body.as_str()), (200, "a \"result\""));
+    let c = &node.counters;
+    assert_eq!((c.taken.get(), c.served.get(), c.sent.get(), c.opened.get()), (1, 1, 1, 1));
+    // The connection serves the next request.
+    client.tell(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await;
+    let mut seen = tokio::select! {
+        next = seen.next() => next.expect("the same connection"),
+        new = worker.take() => new, // where the next request came before the last answer's end was read
+    };
+    assert_eq!(seen.field("x-request-id"), "9b1f03aa5c7e2d42");
+    seen.done("b").await;
+    assert_eq!(client.answer().await.unwrap().body, "b");
+}
+
+#[tokio::test]
+async fn bad_requests_get_their_answer_and_reach_no_worker() {
+    let (_worker, node, mut client) = one().await;
+    let good = request("lodge", "9b1f03aa5c7e2d41", 60.0, "");
+    let without = |line: &str| good.replace(&format!("{line}\r\n"), "");
+    let cases = [
+        (good.replace("X-Class: lodge", "X-Class: render"), 400),
+        (good.replace("X-Class: lodge", "X-Class: check"), 400),
+        (good.replace("/lodge", "/render").replace("X-Class: lodge", "X-Class: render"), 400),
+        (good.replace("sava", "drava"), 400),
+        (without("X-Request-Id: 9b1f03aa5c7e2d41"), 400),
+        (without("X-Deadline: 60.000"), 400),
+        (good.replace("60.000", "soon"), 400),
+        (good.replace("60.000", "-1"), 400),
+        (without("Idempotency-Key: k1"), 400),
+        (good.replace("/lodge", "/nowhere"), 404),
+        (without("X-Class: lodge").replace("/lodge", "/nowhere"), 404),
+        (good.replace("POST", "GET"), 405),
+        (request("check", "9b1f03aa5c7e2d41", 60.0, &"x".repeat(64 * 1024 + 1)), 413),
+    ];
+    for (text, status) in &cases {
+        let got = client.ask(text).await;
+        assert_eq!(got.status, *status, "{text:.200}");
+        if got.head.to_lowercase().contains("connection: close") || *status == 413 {
+            client = Client::connect(&node).await;
+        }
+    }
+    assert_eq!(client.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status, 200);
+    let c = &node.counters;
+    assert_eq!((c.turned_away.get(), c.taken.get(), c.sent.get()), (cases.len() as u64, 0, 0));
+}
+
+/// Plays what a worker does with a request and returns how the attempt was counted.
+async fn outcome(case: &str) -> Outcome {
+    let (worker, node, mut client) = one().await;
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
+    let mut seen = worker.take().await;
+    match case {
+        "failed" | "returned" | "lost" => {
+            seen.begin().await;
+            seen.say(json!({"state": case})).await;
+            seen.write("0\r\n\r\n").await;
+        }
+        "another's line" => {
+            seen.begin().await;
+            seen.write("2a\r\n{\"id\":\"other\",\"state\":\"done\",\"result\":\"x\"}\n\r\n").await;
+        }
+        "no line" => {
+            seen.begin().await;
+            seen.write("5\r\nhello\r\n0\r\n\r\n").await;
+        }
+        "no last line" => {
+            seen.begin().await;
+            seen.say(json!({"state": "started"})).await;
+            seen.write("0\r\n\r\n").await;
+        }
+        "closed" => drop(seen),
+        "not run" => {
+            seen.write("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX-Load: x0=0\r\nContent-Length: 0\r\n\r\n").await
+        }
+        "503" => seen.write("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n").await,
+        _ => seen.write("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").await,
+    }
+    let c = node.counters.clone();
+    let all = [(&c.error, Outcome::Error), (&c.full, Outcome::Full), (&c.reset, Outcome::Reset)];
+    loop {
+        if let Some((_, outcome)) = all.iter().find(|(count, _)| count.get() > 0) {
+            assert_eq!(c.error.get() + c.full.get() + c.reset.get(), 1, "one outcome for each attempt");
+            return *outcome;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn what_comes_back_tells_how_the_attempt_ended() {
+    for (case, want) in [
+        ("failed", Outcome::Error),
+        ("500", Outcome::Error),
+        ("503", Outcome::Error),
+        ("returned", Outcome::Full),
+        ("not run", Outcome::Full),
+        ("lost", Outcome::Reset),
+        ("closed", Outcome::Reset),
+        ("another's line", Outcome::Reset),
+        ("no line", Outcome::Reset),
+        ("no last line", Outcome::Reset),
+    ] {
+        assert_eq!(outcome(case).await, want, "{case}");
+    }
+}
+
+#[tokio::test]
+async fn a_worker_that_refuses_connections_never_ran_it_and_another_gets_it() {
+    let (dead, live) = (Worker::start().await, Worker::start().await);
+    let lines = vec![dead.line("s-1", "in_service"), live.line("s-2", "in_service")];
+    drop(dead);
+    let node = Platform::start(lines, 1024).await;
+    let mut client = Client::connect(&node).await;
+    let mut other = Client::connect(&node).await;
+    // The second one goes to the worker that holds fewer: one of the two meets the dead one first.
+    client.tell(&request("lodge", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    other.tell(&request("lodge", "9b1f03aa5c7e2d42", 60.0, "")).await;
+    let (mut a, mut b) = (live.take().await, live.take().await);
+    a.done("ok").await;
+    b.done("ok").await;
+    assert_eq!(client.answer().await.unwrap().status, 200);
+    assert_eq!(other.answer().await.unwrap().status, 200);
+    let c = &node.counters;
+    assert_eq!((c.connect_failed.get(), c.ok.get(), c.sent.get()), (1, 2, 3));
+}
+
+#[tokio::test]
+async fn a_client_that_goes_has_its_attempt_closed() {
+    let (worker, node, mut client) = one().await;
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    let seen = worker.take().await;
+    drop(client);
+    assert!(seen.next().await.is_none(), "the worker sees the connection end");
+    assert_eq!((node.counters.left.get(), node.counters.taken.get()), (1, 1));
+}
+
+#[tokio::test]
+async fn an_attempt_that_times_out_is_closed_and_the_request_gets_its_answer() {
+    let (worker, node, mut client) = one().await;
+    client.tell(&request("lodge", "9b1f03aa5c7e2d41", 0.2, "")).await;
+    let seen = worker.take().await;
+    let got = client.answer().await.expect("an answer");
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.head.to_lowercase().contains("retry-after"), "{got:?}");
+    assert!(seen.next().await.is_none());
+    assert_eq!((node.counters.timeout.get(), node.counters.sent.get()), (1, 1));
+}
+
+#[tokio::test]
+async fn a_worker_that_drains_gets_nothing_new_and_a_bad_list_changes_nothing() {
+    let (old, new) = (Worker::start().await, Worker::start().await);
+    let node = Platform::start(vec![old.line("s-1", "in_service")], 1024).await;
+    node.tell("{\"revision\": 2, \"complete\": true, \"members\": [{}]}");
+    node.list(3, vec![old.line("s-1", "terminating"), new.line("s-2", "in_service")]).await;
+    let mut client = Client::connect(&node).await;
+    for n in 0..3 {
+        client.tell(&request("check", &format!("9b1f03aa5c7e2d4{n}"), 60.0, "")).await;
+        let mut seen: Seen = new.take().await;
+        seen.begin().await;
+        seen.say(json!({"state": "done", "result": "ok"})).await;
+        assert_eq!(client.answer().await.unwrap().status, 200);
+    }
+    // Who is absent from a whole list is gone.
+    node.list(4, vec![old.line("s-1", "in_service")]).await;
+    client.tell(&request("check", "9b1f03aa5c7e2d44", 60.0, "")).await;
+    old.take().await.done("back").await;
+    assert_eq!(client.answer().await.unwrap().body, "back");
+}
+
+#[tokio::test]
+async fn a_node_told_to_stop_answers_what_it_has_taken_and_takes_what_still_comes() {
+    let (worker, node, mut client) = one().await;
+    let mut idle = Client::connect(&node).await;
+    assert_eq!(idle.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status, 200);
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    let mut before = worker.take().await;
+    node.phase.send_replace(Phase::Stopping);
+    let mut late = Client::connect(&node).await;
+    assert_eq!(late.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status, 503, "it wants no new clients");
+    late.tell(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await;
+    let mut after = worker.take().await;
+    node.phase.send_replace(Phase::Closing);
+    assert!(idle.answer().await.is_none(), "an idle connection is closed");
+    for (seen, client, result) in [(&mut before, &mut client, "a"), (&mut after, &mut late, "b")] {
+        seen.done(result).await;
+        let got = client.answer().await.unwrap();
+        assert_eq!((got.status, got.body.as_str()), (200, result));
+        assert!(got.head.to_lowercase().contains("connection: close"), "{got:?}");
+    }
+    assert_eq!(node.served.await.unwrap(), Ok(()));
+}
+
+#[tokio::test]
+async fn beyond_the_descriptor_budget_a_client_is_refused_at_once() {
+    let worker = Worker::start().await;
+    let node = Platform::start(vec![worker.line("s-1", "in_service")], 70).await; // 6 to use, 4 of them for clients
+    let mut clients = Vec::new();
+    for _ in 0..4 {
+        let mut client = Client::connect(&node).await;
+        assert_eq!(client.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status, 200);
+        clients.push(client);
+    }
+    let mut beyond = Client::connect(&node).await;
+    let got = beyond.ask(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
+    assert_eq!(got.status, 503);
+    assert!(got.head.to_lowercase().contains("retry-after"));
+    assert!(beyond.answer().await.is_none(), "and closed");
+    assert_eq!((node.counters.turned_away.get(), node.counters.taken.get()), (1, 0));
+    // Room that is given up serves again.
+    clients.clear();
+    loop {
+        let mut client = Client::connect(&node).await;
+        if client.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status == 200 {
+            break;
+        }
+    }
+}
