End the program when a core ends; keep connections of workers that turn jobs away

A core that had ended would have left a node that answers 502 for ever: both fronts now end with a message. A 503 with a few words of body no longer costs its connection.

--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 use tokio::sync::{watch, Semaphore};
+use tokio::task::AbortHandle;
 use tokio::time::{interval, sleep, Instant};
 
 /// How often a password is hashed.
@@ -135,6 +136,7 @@
 #[derive(Clone)]
 pub struct Node {
     shared: Arc<Shared>,
+    core: Arc<AbortHandle>,
     longest: Duration,
 }
 
@@ -156,9 +158,9 @@
         let shared = Arc::new(Shared { leases, password, counters: counters.clone(), phase });
         let seed = RandomState::new().build_hasher().finish();
         let core = Dispatcher::new(settings, seed, Faktory { shared: shared.clone() }, counters);
-        tokio::spawn(core.map_err(|e| format!("settings: {e}"))?.run(inbox));
+        let core = tokio::spawn(core.map_err(|e| format!("settings: {e}"))?.run(inbox)).abort_handle();
         handle.list(Vec::new(), true);
-        Ok(Node { shared, longest })
+        Ok(Node { shared, core: Arc::new(core), longest })
     }
 
     /// Serves one connection to its end.
@@ -167,10 +169,12 @@
     }
 
     /// Serves until the shutdown has come and every job taken has its end state.
-    pub async fn serve(&self, listener: TcpListener, connections: usize) {
+    pub async fn serve(&self, listener: TcpListener, connections: usize) -> Result<(), String> {
         let mut phase = self.shared.phase.clone();
         tokio::select! {
             () = accept(listener, Arc::new(Semaphore::new(connections)), self) => {}
+            // Guards against a front that stays up and can decide nothing.
+            () = self.core_ended() => return Err("the core has ended".to_string()),
             _ = phase.wait_for(|p| *p == Phase::Closing) => {}
         }
         // Workers go on to finish what they have; a deadline ends what they don't.
@@ -179,6 +183,15 @@
         while self.shared.leases().open() > 0 && Instant::now() < end {
             look.tick().await;
         }
+        Ok(())
+    }
+
+    /// Returns once the core has ended, which it does not while all is well.
+    async fn core_ended(&self) {
+        let mut look = interval(Duration::from_secs(1));
+        while !self.core.is_finished() {
+            look.tick().await;
+        }
     }
 }
 
@@ -194,8 +207,7 @@
     };
     let listener = TcpListener::bind(operator.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", operator.listen))?;
-    Node::start(&operator, password, counters, phase)?.serve(listener, operator.connections).await;
-    Ok(())
+    Node::start(&operator, password, counters, phase)?.serve(listener, operator.connections).await
 }
 
 async fn accept(listener: TcpListener, room: Arc<Semaphore>, node: &Node) {
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -19,6 +19,8 @@
 
 /// A line with a result of 64 KiB, escaped at its worst, and a load report.
 const LINE_MAX: usize = 512 * 1024;
+/// What a worker that turns a job away may say beside, for its connection to be kept.
+const WORDS_MAX: usize = 4096;
 /// For which a finished answer's end is awaited before its connection is given up.
 const TAIL_WAIT: Duration = Duration::from_secs(1);
 
@@ -41,7 +43,7 @@
     outcome: Outcome,
     report: Option<LoadReport>,
     result: Bytes,
-    rest: Option<Incoming>, // what is left to read before the connection is free again
+    rest: Option<(Incoming, usize)>, // to be read before the connection is free again, so much at most
 }
 
 impl End {
@@ -68,7 +70,7 @@
             why = stopped => End::plain(why.unwrap_or(Outcome::Cancelled)),
         };
         let End { outcome, report, result, rest } = end;
-        let Some(rest) = rest else {
+        let Some((rest, most)) = rest else {
             // Guards the rule of one copy: the connection is closed before the core may send a new one.
             if let Some(connection) = connection {
                 connection.close().await;
@@ -77,7 +79,7 @@
         };
         self.handle.ended(tag, outcome, report, result);
         let Some(mut connection) = connection else { return };
-        let clean = timeout(TAIL_WAIT, ends(rest)).await.unwrap_or(false);
+        let clean = timeout(TAIL_WAIT, ends(rest, most)).await.unwrap_or(false);
         if clean && connection.sender.ready().await.is_ok() {
             self.pool.keep(worker, connection);
         }
@@ -116,7 +118,7 @@
                 _ => Outcome::Error,
             };
             let report = fields::load_header(&head.headers, &self.names);
-            return End { outcome, report, result: Bytes::new(), rest: Some(body) };
+            return End { outcome, report, result: Bytes::new(), rest: Some((body, WORDS_MAX)) };
         }
         let mut buffer = BytesMut::new();
         loop {
@@ -143,7 +145,7 @@
                     News::Returned(report) => (Outcome::Full, report, Bytes::new()),
                     News::Lost(report) => (Outcome::Reset, report, Bytes::new()),
                 };
-                return End { outcome, report, result, rest: Some(body) };
+                return End { outcome, report, result, rest: Some((body, 0)) };
             }
             // Guards memory against a line without an end.
             if buffer.len() > LINE_MAX {
@@ -187,13 +189,17 @@
     }
 }
 
-/// Whether an answer ends without anything more.
-async fn ends(mut rest: Incoming) -> bool {
+/// Whether an answer ends with no more than this, white space aside.
+async fn ends(mut rest: Incoming, most: usize) -> bool {
+    let mut seen = 0;
     loop {
         match rest.frame().await {
             None => return true,
-            Some(Ok(frame)) if frame.data_ref().is_none_or(|d| d.trim_ascii().is_empty()) => {}
-            Some(_) => return false,
+            Some(Ok(frame)) => seen += frame.data_ref().map_or(0, |d| d.trim_ascii().len()),
+            Some(Err(_)) => return false,
+        }
+        if seen > most {
+            return false;
         }
     }
 }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -92,12 +92,15 @@
     let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let core = Dispatcher::new(settings, seed, Platform { carrier }, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
-    tokio::spawn(core.run(inbox));
+    let core = tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
     let lists =
         watch::Lists { handle: handle.clone(), pool, names: names.clone(), counters: counters.clone() };
     tokio::spawn(lists.follow(config.discovery, config.known));
     let server = server::Server { handle, names, counters, budget: budget - budget / 3, phase };
-    server.run(listener, Duration::from_micros(longest)).await;
-    Ok(())
+    tokio::select! {
+        () = server.run(listener, Duration::from_micros(longest)) => Ok(()),
+        // Guards against a node that stays up and can decide nothing: it ends and is started anew.
+        ended = core => Err(format!("the core has ended: {ended:?}")),
+    }
 }
--- a/node/tests/faktory.rs
+++ b/node/tests/faktory.rs
@@ -289,7 +289,7 @@
         served += usize::from(end == "served");
     }
     phase.send_replace(Phase::Closing);
-    server.await.unwrap();
+    assert_eq!(server.await.unwrap(), Ok(()));
     works.iter().for_each(|w| w.abort());
     let mut seen = BTreeSet::new();
     while let Some(jid) = log.recv().await {
