--- a/node/src/platform/watch.rs
+++ b/node/src/platform/watch.rs
@@ -44,15 +44,22 @@
             self.feed(&ListBody { complete: true, ..known });
         }
         let (mut version, mut connection): (Option<u64>, Option<Sender>) = (None, None);
+        let mut down = false;
         loop {
             match call(&mut connection, discovery, version).await {
                 Ok(list) => {
                     version = Some(list.revision);
+                    if std::mem::take(&mut down) {
+                        log::info!("discovery: reached again");
+                    }
                     self.feed(&list);
                     self.counters.lists.add();
                 }
                 Err(e) => {
-                    log::info!("discovery: {e}");
+                    // Said once for each time that it is down, not twenty times a second.
+                    if !std::mem::replace(&mut down, true) || matches!(e, Trouble::Unread(_)) {
+                        log::warn!("discovery: {e}");
+                    }
                     // Guards against a list that can't be read: the whole of it is fetched anew.
                     if matches!(e, Trouble::Unread(_)) {
                         version = None;
