Test that a worker is not handed a job that it lost; say what remains

Seen: with the guard in Leases::offer taken out, every Faktory test still passed, since the module's own doubt kept the worker away. The new test drives the leases alone and fails without the guard.

--- a/node/src/faktory/leases.rs
+++ b/node/src/faktory/leases.rs
@@ -481,3 +481,38 @@
         self.expiry.retain(|(_, i)| *i != id);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::dispatcher::queue;
+
+    /// An ACK names only a jid: were the job handed to this worker again, the late ACK of the attempt that it
+    /// lost would end the new one.
+    #[tokio::test]
+    async fn a_worker_that_lost_a_job_is_not_handed_it_again() {
+        let (core, _inbox) = queue();
+        let names = Names { classes: vec!["lodge".into()], keyed: vec![true], ..Names::default() };
+        let mut leases = Leases::new(core, names, vec![(Duration::from_secs(25), Duration::from_secs(40))]);
+        let text = r#"{"jid":"job-00001","jobtype":"declare","args":[],"queue":"lodge"}"#;
+        let push = serde_json::from_str(text).unwrap();
+        let _pushed = leases.push(push, Bytes::from_static(text.as_bytes())).unwrap();
+        let (id, queues) = (1, ["lodge".to_string()]);
+        let tag = |attempt| Tag { id: 9, attempt };
+        let number = |wid| WorkerId(number_of(wid));
+        leases.enter("one").unwrap();
+        let (_, mut first) = leases.fetch("one", &queues);
+        assert!(!leases.offer(tag(0), id, number("one")), "a FETCH was there");
+        assert_eq!(first.try_recv().unwrap().tag, tag(0));
+        leases.leave("one");
+        leases.enter("one").unwrap();
+        let (_, mut again) = leases.fetch("one", &queues);
+        leases.offer(tag(1), id, number("one"));
+        assert!(again.try_recv().is_err(), "the same worker");
+        assert!(leases.finish("one", "job-00001", Outcome::Ok).is_err(), "its late ACK");
+        leases.enter("two").unwrap();
+        let (_, mut other) = leases.fetch("two", &queues);
+        leases.offer(tag(2), id, number("two"));
+        assert_eq!(other.try_recv().unwrap().tag, tag(2));
+    }
+}
