Let operators call at an address of their own and drain a node and take it back

Now: management.rs answers GET /healthcheck, POST /healthcheck/fail and /ok; phase.rs (shutdown.rs before) owns the phase, with Draining beside Stopping and Closing: /up says 503, answers carry Connection: close, idle connections close, the listener stays, ok undoes it; a stop goes on from there and has no way back. A connection that is yet to bring its first request is left to bring it (server.rs, sent_away): its client would take a close for a failure. Faktory clients get SHUTDOWN on PUSH while the node drains. Ruled out: phases without time in the test of a stop: the real ones run 0.72 s, in which an attempt without word is called off, so its workers now give word.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -21,6 +21,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    management: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -75,6 +76,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call; off if not set.
+    pub management: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What it may use.
@@ -93,6 +96,7 @@
         [
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
+            ("management", self.management != newer.management),
             ("limits", self.limits != newer.limits),
             ("settings", self.settings != newer.settings || self.names != newer.names),
         ]
@@ -193,14 +197,16 @@
 /// Reads a configuration's text.
 pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let raw: Raw = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
-    let address = |name: &str, given: Option<String>| -> Result<SocketAddr, String> {
-        let text = var(name).or(given).ok_or_else(|| format!("configuration: no {name}"))?;
-        text.parse().map_err(|_| format!("configuration: {name}={text} is not an address"))
+    let optional = |name: &str, given: Option<String>| -> Result<Option<SocketAddr>, String> {
+        let Some(text) = var(name).or(given) else { return Ok(None) };
+        text.parse().map(Some).map_err(|_| format!("configuration: {name}={text} is not an address"))
     };
+    let address = |name, given| optional(name, given)?.ok_or_else(|| format!("configuration: no {name}"));
     let (settings, names) = read_settings(&raw.settings)?;
     Ok(Config {
         listen: address("RELAY_LISTEN", raw.listen)?,
         discovery: address("RELAY_DISCOVERY", raw.discovery)?,
+        management: optional("RELAY_MANAGEMENT", raw.management)?,
         name: var("RELAY_NAME").unwrap_or(raw.name),
         seed: u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| crate::dispatcher::number_of(&raw.seed)),
         limits: raw.limits,
--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -41,6 +41,8 @@
 }
 
 counters! {
+    /// Connections of clients that were given a place.
+    accepted,
     /// Requests handed to the module.
     taken,
     /// Requests answered without it: malformed, not found, too large, over the descriptor budget.
--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -8,7 +8,7 @@
 use crate::config::read_settings;
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Tag};
-use crate::shutdown::Phase;
+use crate::phase::Phase;
 use dewlever::api::{Outcome, Settings, WorkerId};
 use leases::{Leases, RecordId, OFFER_WAIT};
 use serde::Deserialize;
@@ -168,7 +168,7 @@
         session::serve(self.shared.clone(), socket).await;
     }
 
-    /// Serves until the shutdown has come and every job taken has its end state.
+    /// Serves until it is told to stop and every job taken has its end state.
     pub async fn serve(&self, listener: TcpListener, connections: usize) -> Result<(), String> {
         let mut phase = self.shared.phase.clone();
         tokio::select! {
--- a/node/src/faktory/session.rs
+++ b/node/src/faktory/session.rs
@@ -4,7 +4,6 @@
 use super::leases::{Delivery, Pushed, State, SILENCE};
 use super::Shared;
 use crate::dispatcher::Answer;
-use crate::shutdown::Phase;
 use bytes::{Bytes, BytesMut};
 use dewlever::api::Outcome;
 use futures_util::{SinkExt, StreamExt};
@@ -183,8 +182,8 @@
         let done = |r: Result<(), String>| r.map_or_else(error, |()| Reply::Ok);
         let shared = self.shared.clone();
         Ok(Some(match command {
-            Command::Push(..) if *shared.phase.borrow() == Phase::Closing => {
-                Reply::Error("SHUTDOWN", "the server is stopping".to_string())
+            Command::Push(..) if shared.phase.borrow().sends_away() => {
+                Reply::Error("SHUTDOWN", "the server takes no new jobs".to_string())
             }
             Command::Push(push, payload) => {
                 let pushed = shared.leases().push(push, payload);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -9,16 +9,21 @@
 pub mod dispatcher;
 pub mod faktory;
 pub mod logger;
+pub mod management;
+pub mod phase;
 pub mod platform;
 pub mod reload;
-pub mod shutdown;
 
 use config::{Sources, Told};
 use counters::Counters;
+use management::Management;
+use phase::Phases;
 use reload::Reload;
 use std::process::ExitCode;
 use std::sync::Arc;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 
 /// Runs a node as its environment says. Bad input ends it with one line on standard error and code 2.
 pub fn run() -> ExitCode {
@@ -39,7 +44,16 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     runtime.block_on(async {
-        let phase = shutdown::on_signal().map_err(|e| format!("no signals: {e}"))?;
+        let phases = Phases::default();
+        phases.stop_on_signal().map_err(|e| format!("no signals: {e}"))?;
+        let phase = phases.follow();
+        let (ready, follow_ready) = watch::channel(false);
+        if let Some(at) = config.as_ref().and_then(|c| c.management) {
+            let listener = TcpListener::bind(at).await;
+            let listener = listener.map_err(|e| format!("cannot listen on {at} (management): {e}"))?;
+            let management = Management { phases: phases.clone(), ready: follow_ready };
+            tokio::spawn(management.serve(listener));
+        }
         let reload = Reload::new(sources, told);
         let discovery = reload.discovery();
         reload.on_signal().map_err(|e| format!("no signals: {e}"))?;
@@ -61,9 +75,9 @@
                 Some(config) => {
                     let at = config.listen;
                     let listener = platform::listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
-                    let served =
-                        platform::serve(config, listener, counters[0].clone(), phase.clone(), discovery);
-                    served.await
+                    let counters = counters[0].clone();
+                    let links = platform::Links { counters, phase: phase.clone(), discovery, ready };
+                    platform::serve(config, listener, links).await
                 }
                 None => Ok(()),
             }
--- /dev/null
+++ b/node/src/management.rs
@@ -0,0 +1,105 @@
+//! Where operators call: a small HTTP front of its own, so that they are heard however full the clients' door
+//! is. One call a connection; it reads and turns the phase and decides nothing else.
+
+use crate::phase::Phases;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{HeaderValue, ALLOW};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// Callers at once. The platform's front keeps descriptors back for them.
+pub const CALLERS: usize = 8;
+/// For which one call may take, from its connection on.
+const CALL_WAIT: Duration = Duration::from_secs(2);
+/// A call's head; more is refused.
+const BUFFER: usize = 8 * 1024;
+/// Between tries to accept where there is no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What operators may ask and change.
+#[derive(Clone)]
+pub struct Management {
+    /// The phase of the process.
+    pub phases: Phases,
+    /// Whether the process can serve.
+    pub ready: watch::Receiver<bool>,
+}
+
+impl Management {
+    /// Answers calls for as long as the process lives.
+    pub async fn serve(self, listener: TcpListener) {
+        let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+        loop {
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    callers.retain(|c| !c.is_finished());
+                    // Guards calls against callers that hold all places and say nothing: the first one goes.
+                    while callers.len() >= CALLERS {
+                        let Some(first) = callers.pop_front() else { break };
+                        first.abort();
+                        let _ = first.await; // ends with an error by design; its descriptor is free now
+                    }
+                    let own = self.clone();
+                    callers.push_back(tokio::spawn(async move { own.call(socket).await }));
+                }
+                Err(e) => {
+                    log::warn!("management: cannot accept: {e}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn call(&self, socket: TcpStream) {
+        let service = service_fn(|request| async move { Ok::<_, Infallible>(self.answer(&request)) });
+        let mut builder = http1::Builder::new();
+        builder.keep_alive(false).header_read_timeout(None).max_buf_size(BUFFER);
+        let connection = builder.serve_connection(TokioIo::new(socket), service);
+        match timeout(CALL_WAIT, connection).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => log::debug!("management: {e}"),
+            Err(_) => log::debug!("management: a call did not come in {CALL_WAIT:?}"),
+        }
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let (method, path) = (request.method(), request.uri().path());
+        let allowed = match path {
+            "/healthcheck" => Method::GET,
+            "/healthcheck/fail" | "/healthcheck/ok" => Method::POST,
+            _ => return say(StatusCode::NOT_FOUND, "there is no such call"),
+        };
+        if *method != allowed {
+            let mut reply = say(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted");
+            reply.headers_mut().insert(ALLOW, HeaderValue::from_str(allowed.as_str()).expect("a method"));
+            return reply;
+        }
+        let (yes, text) = match path {
+            "/healthcheck" if *self.ready.borrow() => (true, "ready"),
+            "/healthcheck" => (false, "starting"),
+            "/healthcheck/fail" => (self.phases.drain(), "draining"),
+            _ if self.phases.resume() => (true, "serving"),
+            _ => (false, "on its way to its end"),
+        };
+        if allowed == Method::POST {
+            log::info!("management: {path}: {text}");
+        }
+        say(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, text)
+    }
+}
+
+fn say(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut reply = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/node/src/phase.rs
@@ -0,0 +1,107 @@
+//! Where a node is between its start and its end: one owner of that, and what may follow on what.
+
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// New connections go on coming for a while after SIGTERM; what comes in 0.7 s must be answered.
+const ACCEPTING: Duration = Duration::from_millis(720);
+
+/// Where a node is between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It was told to drain: it sends its clients away and still serves what comes. It may go back to serving.
+    Draining,
+    /// It was told to stop; it still takes what comes.
+    Stopping,
+    /// It takes nothing new, answers what it has and closes connections that are idle.
+    Closing,
+}
+
+impl Phase {
+    /// Whether clients are wanted.
+    pub fn up(self) -> bool {
+        self == Phase::Serving
+    }
+
+    /// Whether connections are closed: idle ones now, others after their answer.
+    pub fn sends_away(self) -> bool {
+        matches!(self, Phase::Draining | Phase::Closing)
+    }
+
+    /// Whether new connections are taken.
+    pub fn accepts(self) -> bool {
+        self != Phase::Closing
+    }
+}
+
+/// The phase of this process. All that changes it goes through here; whoever follows it gets a receiver.
+#[derive(Clone)]
+pub struct Phases(Arc<watch::Sender<Phase>>);
+
+impl Default for Phases {
+    fn default() -> Self {
+        Phases(Arc::new(watch::Sender::new(Phase::Serving)))
+    }
+}
+
+impl Phases {
+    /// For who follows it.
+    pub fn follow(&self) -> watch::Receiver<Phase> {
+        self.0.subscribe()
+    }
+
+    /// Sends clients away; one that is on its way to its end does already. Says whether it does now.
+    pub fn drain(&self) -> bool {
+        self.turn(|p| (p == Phase::Serving).then_some(Phase::Draining));
+        true
+    }
+
+    /// Back to serving. Says whether it serves now: a node that was told to stop does not come back.
+    pub fn resume(&self) -> bool {
+        self.turn(|p| (p == Phase::Draining).then_some(Phase::Serving)) == Phase::Serving
+    }
+
+    /// Goes through the last phases, whatever the phase is; a second call changes nothing.
+    pub async fn stop(&self) {
+        let last = |p| matches!(p, Phase::Stopping | Phase::Closing);
+        if last(*self.0.borrow()) {
+            return;
+        }
+        self.turn(|_| Some(Phase::Stopping));
+        sleep(ACCEPTING).await;
+        self.turn(|_| Some(Phase::Closing));
+    }
+
+    /// Stops at SIGTERM (or SIGINT).
+    pub fn stop_on_signal(&self) -> std::io::Result<()> {
+        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let phases = self.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+            log::info!("told to stop");
+            phases.stop().await;
+        });
+        Ok(())
+    }
+
+    /// Changes the phase, where something follows on it, and says what it is then.
+    fn turn(&self, next: impl FnOnce(Phase) -> Option<Phase>) -> Phase {
+        self.0.send_if_modified(|phase| match next(*phase) {
+            Some(new) => {
+                log::info!("{phase:?} -> {new:?}");
+                *phase = new;
+                true
+            }
+            None => false,
+        });
+        *self.0.borrow()
+    }
+}
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -16,7 +16,7 @@
 use crate::config::{Config, Names};
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
-use crate::shutdown::Phase;
+use crate::phase::Phase;
 use attempt::Carrier;
 use bytes::Bytes;
 use dewlever::api::{Outcome, Settings, WorkerId};
@@ -27,10 +27,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch as phase, Semaphore};
+use tokio::sync::{oneshot, watch as follow, Semaphore};
 use tokio::time::Instant;
 
-/// Descriptors beside those of clients and workers: standard streams, poller, signals, listener, discovery.
+/// Descriptors beside those of clients and workers: standard streams, poller, signals, listeners, discovery, and
+/// those of [`crate::management::CALLERS`].
 const FIXED: usize = 32;
 /// Connections beyond the budget that are held at once to be told so.
 const TURNED_AWAY: usize = 32;
@@ -83,14 +84,22 @@
     }
 }
 
-/// Serves the platform, with discovery where `discovery` says at each moment, until the last phase of the shutdown is over and all that was taken is answered.
-pub async fn serve(
-    config: Config,
-    listener: TcpListener,
-    counters: Arc<Counters>,
-    phase: phase::Receiver<Phase>,
-    discovery: phase::Receiver<Option<SocketAddr>>,
-) -> Result<(), String> {
+/// What ties the front to its process.
+pub struct Links {
+    /// What it counts.
+    pub counters: Arc<Counters>,
+    /// Where the process is between its start and its end.
+    pub phase: follow::Receiver<Phase>,
+    /// Where discovery is.
+    pub discovery: follow::Receiver<Option<SocketAddr>>,
+    /// Set once it can serve.
+    pub ready: follow::Sender<bool>,
+}
+
+/// Serves the platform, with discovery where `discovery` says at each moment, until the node is told to stop and
+/// all that was taken is answered.
+pub async fn serve(config: Config, listener: TcpListener, links: Links) -> Result<(), String> {
+    let Links { counters, phase, discovery, ready } = links;
     let Config { settings, names, seed, limits, .. } = config;
     // A worker answers 200 once it has taken a job.
     let settings = Settings { tells_taken: true, ..settings };
@@ -116,6 +125,7 @@
         ids: open::Ids::default(),
         phase,
     };
+    ready.send_replace(true);
     tokio::select! {
         () = server.run(listener, Duration::from_micros(longest)) => Ok(()),
         // Guards against a node that stays up and can decide nothing: it ends and is started anew.
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -7,7 +7,7 @@
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
-use crate::shutdown::Phase;
+use crate::phase::Phase;
 use bytes::Bytes;
 use dewlever::api::RequestId;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -63,7 +63,7 @@
 }
 
 impl Server {
-    /// Accepts and serves; ends once the shutdown has come and all that was taken is answered.
+    /// Accepts and serves; ends once the node is told to stop and all that was taken is answered.
     pub async fn run(self, listener: TcpListener, longest: Duration) {
         let server = Arc::new(self);
         let (room, beyond) = (Room::new(server.budget), Arc::new(Semaphore::new(TURNED_AWAY)));
@@ -72,7 +72,7 @@
             let socket = tokio::select! {
                 biased;
                 socket = accept(&listener) => socket,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+                _ = phase.wait_for(|p| !p.accepts()) => break,
             };
             server.take(socket, &room, &beyond).await;
         }
@@ -91,6 +91,7 @@
     async fn take(self: &Arc<Self>, socket: TcpStream, room: &Arc<Room>, beyond: &Arc<Semaphore>) {
         let server = self.clone();
         if let Some(seat) = room.seat().await {
+            self.counters.accepted.add();
             tokio::spawn(async move { server.serve(socket, seat).await });
         } else if let Ok(permit) = beyond.clone().try_acquire_owned() {
             tokio::spawn(async move {
@@ -113,13 +114,12 @@
         });
         let connection = builder().serve_connection(TokioIo::new(gate), service);
         tokio::pin!(connection);
-        let mut phase = self.phase.clone();
         let leaves = tokio::select! {
             biased;
             // Before the connection is looked at: it must not take a request in and then go.
             answered = visit.seat.make_way() => Some(answered),
             ended = connection.as_mut() => return log_end(ended),
-            _ = phase.wait_for(|p| *p == Phase::Closing) => None,
+            () = self.sent_away(&visit) => None,
         };
         if leaves == Some(false) {
             return; // it was never told anything
@@ -131,6 +131,16 @@
         }
     }
 
+    /// Returns once the connection is to be closed between requests. One that is yet to bring its first request is
+    /// left to bring it, for its client would take a close for a failure; the answer closes it.
+    async fn sent_away(&self, visit: &Visit) {
+        let mut phase = self.phase.clone();
+        while phase.wait_for(|p| p.sends_away()).await.is_ok() && visit.requests.load(Ordering::Relaxed) == 0
+        {
+            let _ = phase.changed().await; // fails with the process's end only, as the wait above does
+        }
+    }
+
     async fn turn_away(&self, socket: TcpStream) {
         let service = service_fn(|request| async move { Ok::<_, Infallible>(self.no_room(request).await) });
         log_end(builder().keep_alive(false).serve_connection(TokioIo::new(socket), service).await);
@@ -163,9 +173,9 @@
                 (reply, true)
             }
         };
-        // Guards descriptors and CPU against who asks wrongly once and stays, or at once again; and what
-        // follows a chunked body is not followed on the socket.
-        if bad || framing != Framing::Length {
+        // Guards descriptors and CPU against who asks wrongly once and stays, or at once again; what follows a
+        // chunked body is not followed on the socket; and a node that drains keeps no client.
+        if bad || framing != Framing::Length || self.phase.borrow().sends_away() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         visit.seat.rest(true);
@@ -181,9 +191,12 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         if path == "/up" && head.method == Method::GET {
-            let up = *self.phase.borrow() == Phase::Serving;
-            let status = if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return Ok(plain(status, if up { "up" } else { "stopping" }));
+            let phase = *self.phase.borrow();
+            return Ok(match phase {
+                Phase::Serving => plain(StatusCode::OK, "up"),
+                Phase::Draining => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
+                _ => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+            });
         }
         let known = |class: &str| self.names.classes.iter().any(|c| c == class);
         let stated = head.headers.get("x-class").map_or(b"".as_slice(), |v| v.as_bytes());
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use molevale::counters::Counters;
 use molevale::faktory::{Node, Operator};
-use molevale::shutdown::Phase;
+use molevale::phase::{Phase, Phases};
 use molevale::{config, platform};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{json, Value};
@@ -44,6 +44,21 @@
     hold
 }
 
+/// Tells a node to stop, and lets the time pass in which it takes what still comes.
+pub async fn stop(phases: &Phases) {
+    stopping(phases).await;
+    tokio::time::advance(Duration::from_millis(720)).await;
+    let mut phase = phases.follow();
+    phase.wait_for(|p| *p == Phase::Closing).await.unwrap();
+}
+
+/// Tells a node to stop; it still takes what comes.
+pub async fn stopping(phases: &Phases) {
+    let (mut phase, phases) = (phases.follow(), phases.clone());
+    tokio::spawn(async move { phases.stop().await });
+    phase.wait_for(|p| *p == Phase::Stopping || *p == Phase::Closing).await.unwrap();
+}
+
 /// Settings of two classes and one tenant, in the nested form of a node's configuration.
 pub fn settings(cancelling: bool, aim_us: u64) -> Value {
     json!({
@@ -68,12 +83,12 @@
 }
 
 /// A Faktory front without a listener, its counters and the phase it goes by.
-pub fn faktory(password: Option<&str>) -> (Node, Arc<Counters>, watch::Sender<Phase>) {
-    let (phase, seen) = watch::channel(Phase::Serving);
+pub fn faktory(password: Option<&str>) -> (Node, Arc<Counters>, Phases) {
+    let phases = Phases::default();
     let counters = Arc::new(Counters::default());
     let node =
-        Node::start(&operator(1_000_000), 7, password.map(String::from), counters.clone(), seen).unwrap();
-    (node, counters, phase)
+        Node::start(&operator(1_000_000), 7, password.map(String::from), counters.clone(), phases.follow());
+    (node.unwrap(), counters, phases)
 }
 
 pub trait Stream: AsyncRead + AsyncWrite + Unpin + Send {}
@@ -308,7 +323,7 @@
 pub struct Platform {
     pub address: SocketAddr,
     pub counters: Arc<Counters>,
-    pub phase: watch::Sender<Phase>,
+    pub phases: Phases,
     pub served: JoinHandle<Result<(), String>>,
     discovery: watch::Sender<Option<SocketAddr>>,
     agent: Agent,
@@ -334,11 +349,14 @@
         let config = config::parse(&config.to_string(), |_| None).unwrap();
         let listener = platform::listen(config.listen).unwrap();
         let address = listener.local_addr().unwrap();
-        let (phase, seen) = watch::channel(Phase::Serving);
+        let phases = Phases::default();
         let counters = Arc::new(Counters::default());
         let (discovery, place) = watch::channel(Some(at));
-        let served = tokio::spawn(platform::serve(config, listener, counters.clone(), seen, place));
-        Platform { address, counters, phase, served, discovery, agent, old: None, _time }
+        let (ready, _) = watch::channel(false);
+        let links =
+            platform::Links { counters: counters.clone(), phase: phases.follow(), discovery: place, ready };
+        let served = tokio::spawn(platform::serve(config, listener, links));
+        Platform { address, counters, phases, served, discovery, agent, old: None, _time }
     }
 
     /// Discovery's next answer, whatever the call.
--- a/node/tests/faktory.rs
+++ b/node/tests/faktory.rs
@@ -2,17 +2,16 @@
 
 mod common;
 
-use common::{checker, faktory, holds, job, operator, still, Peer};
+use common::{checker, faktory, holds, job, operator, still, stop, Peer};
 use molevale::counters::Counters;
 use molevale::faktory::Node;
-use molevale::shutdown::Phase;
+use molevale::phase::Phases;
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::time::{advance, sleep};
 
 #[tokio::test(start_paused = true)]
@@ -268,8 +267,9 @@
 #[tokio::test(start_paused = true)]
 async fn on_loopback_every_job_has_one_answer_and_none_is_lodged_twice() {
     let _time = still();
-    let (phase, seen) = watch::channel(Phase::Serving);
-    let node = Node::start(&operator(60_000_000), 7, None, Arc::new(Counters::default()), seen).unwrap();
+    let phases = Phases::default();
+    let counters = Arc::new(Counters::default());
+    let node = Node::start(&operator(60_000_000), 7, None, counters, phases.follow()).unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let server = tokio::spawn({
@@ -316,7 +316,7 @@
         assert!(["served", "refused", "failed"].contains(&end.as_str()), "{end}");
         served += usize::from(end == "served");
     }
-    phase.send_replace(Phase::Closing);
+    stop(&phases).await;
     assert_eq!(server.await.unwrap(), Ok(()));
     works.iter().for_each(|w| w.abort());
     let mut seen = BTreeSet::new();
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -3,9 +3,8 @@
 
 mod common;
 
-use common::{checker, holds, request, Client, Platform, Seen, Worker};
+use common::{checker, holds, request, stop, stopping, Client, Platform, Seen, Worker};
 use dewlever::api::Outcome;
-use molevale::shutdown::Phase;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
 use std::time::Duration;
@@ -296,19 +295,65 @@
     assert_eq!(idle.ask(UP).await.status, 200);
     client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "")).await;
     let mut before = worker.take().await;
-    node.phase.send_replace(Phase::Stopping);
+    before.begin().await;
+    stopping(&node.phases).await;
     let mut late = Client::connect(&node).await;
     assert_eq!(late.ask(UP).await.status, 503, "it wants no new clients");
     late.tell(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await;
     let mut after = worker.take().await;
-    node.phase.send_replace(Phase::Closing);
+    after.begin().await;
+    while node.counters.word.get() < 2 {
+        tokio::task::yield_now().await; // a job without word is called off in the time that passes now
+    }
+    advance(Duration::from_millis(720)).await;
     assert!(idle.answer().await.is_none(), "an idle connection is closed");
     for (seen, client, result) in [(&mut before, &mut client, "a"), (&mut after, &mut late, "b")] {
+        seen.say(json!({"state": "done", "result": result})).await;
+        let got = client.answer().await.unwrap();
+        assert_eq!((got.status, got.body.as_str()), (200, result));
+        assert!(got.head.to_lowercase().contains("connection: close"), "{got:?}");
+    }
+    assert_eq!(node.served.await.unwrap(), Ok(()));
+}
+
+/// Guards clients of a node that drains: idle connections close, what runs and what still comes is served and
+/// its connection closed then; and the node comes back whole.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_drains_sends_its_clients_away_and_comes_back() {
+    let (worker, node, mut client) = one().await;
+    let mut idle = Client::connect(&node).await;
+    assert_eq!(idle.ask(UP).await.status, 200);
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    let mut before = worker.take().await;
+    let mut fresh = Client::connect(&node).await;
+    while node.counters.accepted.get() < 3 {
+        tokio::task::yield_now().await;
+    }
+    assert!(node.phases.drain() && node.phases.drain(), "again is harmless");
+    assert!(idle.answer().await.is_none(), "an idle connection is closed");
+    let mut late = Client::connect(&node).await;
+    assert_eq!(late.ask(UP).await.status, 503, "the listener stays open, and it wants no new clients");
+    assert!(late.answer().await.is_none(), "and closed");
+    fresh.tell(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await;
+    let mut after = worker.take().await;
+    for (seen, client, result) in [(&mut before, &mut client, "a"), (&mut after, &mut fresh, "b")] {
         seen.done(result).await;
         let got = client.answer().await.unwrap();
         assert_eq!((got.status, got.body.as_str()), (200, result));
         assert!(got.head.to_lowercase().contains("connection: close"), "{got:?}");
+        assert!(client.answer().await.is_none());
+    }
+    let mut waits = Client::connect(&node).await; // says nothing while the node drains
+    while node.counters.accepted.get() < 5 {
+        tokio::task::yield_now().await;
+    }
+    assert!(node.phases.resume());
+    for _ in 0..2 {
+        let got = waits.ask(UP).await;
+        assert!(got.status == 200 && !got.head.to_lowercase().contains("connection: close"), "{got:?}");
     }
+    stop(&node.phases).await;
+    assert!(waits.answer().await.is_none());
     assert_eq!(node.served.await.unwrap(), Ok(()));
 }
 
--- a/node/tests/program.rs
+++ b/node/tests/program.rs
@@ -40,6 +40,8 @@
         "[]".to_string(),
         with("listen", "nowhere".into()),
         with("discovery", serde_json::Value::Null),
+        with("management", "nowhere".into()),
+        with("management", "192.0.2.1:1".into()), // an address of no machine
         with("settings", serde_json::json!({})),
         with("settings", serde_json::json!({"Siblings": "two\nlines"})),
         with("known", serde_json::json!({"revision": 1})),
