--- a/node/tests/management.rs
+++ b/node/tests/management.rs
@@ -75,8 +75,10 @@
         silent.push(socket);
     }
     assert_eq!(call(at, "GET", "/healthcheck").await, 200, "no time has passed");
-    advance(Duration::from_secs(2)).await;
-    for mut socket in silent {
+    for (n, mut socket) in silent.into_iter().enumerate() {
+        if n == CALLERS {
+            advance(Duration::from_secs(2)).await; // the first ones made way, these have had their time
+        }
         let _ = socket.read_to_end(&mut Vec::new()).await; // a reset is an end too
     }
 }
