Hand the listener and the worker list over to a new process that starts beside the old

Lines at fault: lib.rs and server.rs (listen), which know no process before this one. Now: upgrade.rs. The new process connects to the old one's Unix socket in TMPDIR, gets the listener (by SCM_RIGHTS, with rustix: this crate allows no unsafe code), the worker list and the open ids; once it serves, the old one is HandedOver: it accepts no more, closes idle connections and answers what it has, 5 s at least, to serve again should the new one fail. Every 50 ms it says what it may still hold; the new one's descriptors and memory for bodies (platform/stock.rs) are what is left beside that and grow with it. SO_REUSEPORT is set for a start beside a process that hangs. Faktory's listener is bound before the old process is asked, so a start that fails leaves it serving. Ruled out: leaving at once where nothing is left: a new process that fails a moment later would leave nobody (the test hung on that).

--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -195,9 +195,16 @@
     }
 }
 
+/// Listens where the operator's file says.
+pub async fn listen(operator: &Operator) -> Result<TcpListener, String> {
+    let listener = TcpListener::bind(operator.listen).await;
+    listener.map_err(|e| format!("cannot listen on {}: {e}", operator.listen))
+}
+
 /// Serves as the operator's file says.
 pub async fn serve(
     operator: Operator,
+    listener: TcpListener,
     counters: Arc<Counters>,
     phase: watch::Receiver<Phase>,
 ) -> Result<(), String> {
@@ -205,8 +212,6 @@
         Some(name) => Some(std::env::var(name).map_err(|_| format!("operator's file: {name} is not set"))?),
         None => None,
     };
-    let listener = TcpListener::bind(operator.listen).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", operator.listen))?;
     let seed = RandomState::new().build_hasher().finish();
     Node::start(&operator, seed, password, counters, phase)?.serve(listener, operator.connections).await
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,17 +13,20 @@
 pub mod phase;
 pub mod platform;
 pub mod reload;
+pub mod upgrade;
 
 use config::{Sources, Told};
 use counters::Counters;
 use management::Management;
 use phase::Phases;
+use platform::Links;
 use reload::Reload;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
+use upgrade::Before;
 
 /// Runs a node as its environment says. Bad input ends it with one line on standard error and code 2.
 pub fn run() -> ExitCode {
@@ -46,7 +49,6 @@
     runtime.block_on(async {
         let phases = Phases::default();
         phases.stop_on_signal().map_err(|e| format!("no signals: {e}"))?;
-        let phase = phases.follow();
         let (ready, follow_ready) = watch::channel(false);
         if let Some(at) = config.as_ref().and_then(|c| c.management) {
             let listener = TcpListener::bind(at).await;
@@ -69,14 +71,30 @@
                 say(&on_request);
             }
         });
+        // Before another process is asked for its place: a start that fails must leave that one serving.
+        let operator = match operator {
+            Some(operator) => Some((faktory::listen(&operator).await?, operator)),
+            None => None,
+        };
         log::info!("serving");
         let platform = async {
             match config {
                 Some(config) => {
                     let at = config.listen;
-                    let listener = platform::listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+                    let place = upgrade::place(at);
+                    let found = match &place {
+                        Some(place) => Before::find(place).await,
+                        None => None,
+                    };
+                    let (listener, before) = match found {
+                        Some((listener, before)) => (listener, Some(before)),
+                        None => {
+                            let listener = platform::listen(at);
+                            (listener.map_err(|e| format!("cannot listen on {at}: {e}"))?, None)
+                        }
+                    };
                     let counters = counters[0].clone();
-                    let links = platform::Links { counters, phase: phase.clone(), discovery, ready };
+                    let links = Links { counters, phases: phases.clone(), discovery, ready, before, place };
                     platform::serve(config, listener, links).await
                 }
                 None => Ok(()),
@@ -84,7 +102,9 @@
         };
         let faktory = async {
             match operator {
-                Some(operator) => faktory::serve(operator, counters[1].clone(), phase.clone()).await,
+                Some((listener, operator)) => {
+                    faktory::serve(operator, listener, counters[1].clone(), phases.follow()).await
+                }
                 None => Ok(()),
             }
         };
--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -16,6 +16,8 @@
     Serving,
     /// It was told to drain: it sends its clients away and still serves what comes. It may go back to serving.
     Draining,
+    /// Another process serves in its place: it takes nothing new and answers what it has.
+    HandedOver,
     /// It was told to stop; it still takes what comes.
     Stopping,
     /// It takes nothing new, answers what it has and closes connections that are idle.
@@ -30,12 +32,12 @@
 
     /// Whether connections are closed: idle ones now, others after their answer.
     pub fn sends_away(self) -> bool {
-        matches!(self, Phase::Draining | Phase::Closing)
+        matches!(self, Phase::Draining | Phase::HandedOver | Phase::Closing)
     }
 
     /// Whether new connections are taken.
     pub fn accepts(self) -> bool {
-        self != Phase::Closing
+        !matches!(self, Phase::HandedOver | Phase::Closing)
     }
 }
 
@@ -61,19 +63,36 @@
         true
     }
 
-    /// Back to serving. Says whether it serves now: a node that was told to stop does not come back.
+    /// Back to serving. Says whether it serves now: a node that was told to stop, or that another process serves
+    /// for, does not come back.
     pub fn resume(&self) -> bool {
         self.turn(|p| (p == Phase::Draining).then_some(Phase::Serving)) == Phase::Serving
     }
 
-    /// Goes through the last phases, whatever the phase is; a second call changes nothing.
+    /// Another process serves now. Returns what to take back should it fail; in the last phase nothing changes.
+    pub fn hand_over(&self) -> Phase {
+        let before = *self.0.borrow();
+        self.turn(|p| (p != Phase::Closing).then_some(Phase::HandedOver));
+        before
+    }
+
+    /// The other process has ended: this one goes on from where it was, unless it was told to stop since.
+    pub fn take_back(&self, before: Phase) {
+        self.turn(|p| (p == Phase::HandedOver).then_some(before));
+    }
+
+    /// Goes through the last phases, whatever the phase is; a second call changes nothing. Where another process
+    /// serves, nothing more is taken.
     pub async fn stop(&self) {
-        let last = |p| matches!(p, Phase::Stopping | Phase::Closing);
-        if last(*self.0.borrow()) {
-            return;
+        let now = *self.0.borrow();
+        match now {
+            Phase::Stopping | Phase::Closing => return,
+            Phase::HandedOver => {}
+            Phase::Serving | Phase::Draining => {
+                self.turn(|_| Some(Phase::Stopping));
+                sleep(ACCEPTING).await;
+            }
         }
-        self.turn(|_| Some(Phase::Stopping));
-        sleep(ACCEPTING).await;
         self.turn(|_| Some(Phase::Closing));
     }
 
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dewlever::api::{Availability, LoadReport, Request, WorkerEntry, WorkerId};
 use hyper::header::HeaderMap;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::net::SocketAddr;
@@ -136,7 +136,7 @@
 }
 
 /// An answer of discovery.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct ListBody {
     /// The version of the list.
     pub revision: u64,
@@ -147,7 +147,7 @@
 }
 
 /// A line of the worker list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Member {
     id: String,
     host_port: SocketAddr,
@@ -166,7 +166,7 @@
     1.0
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum Phase {
     InService,
@@ -174,6 +174,18 @@
     Terminated,
 }
 
+impl ListBody {
+    /// Takes a newer list in: changed lines, or all of them. Who is gone has no line.
+    pub fn merge(&mut self, newer: &ListBody) {
+        if newer.complete {
+            self.members.clear();
+        }
+        self.members.retain(|m| newer.members.iter().all(|n| n.id != m.id));
+        self.members.extend(newer.members.iter().filter(|m| !m.is_gone()).cloned());
+        (self.revision, self.complete) = (newer.revision, true);
+    }
+}
+
 impl Member {
     /// Where it listens.
     pub fn address(&self) -> (WorkerId, SocketAddr) {
--- a/node/src/platform/watch.rs
+++ b/node/src/platform/follow.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -35,6 +35,8 @@
     pub pool: Arc<Pool>,
     pub names: Arc<Names>,
     pub counters: Arc<Counters>,
+    /// All workers, as told last.
+    pub latest: Arc<Mutex<ListBody>>,
 }
 
 type Sender = SendRequest<Empty<Bytes>>;
@@ -73,6 +75,7 @@
     }
 
     fn feed(&self, list: &ListBody) {
+        self.latest.lock().unwrap_or_else(PoisonError::into_inner).merge(list);
         self.pool.listed(&list.members, list.complete);
         if list.complete || !list.members.is_empty() {
             let entries = list.members.iter().map(|m| m.entry(&self.names)).collect();
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -3,42 +3,36 @@
 
 mod attempt;
 pub mod fields;
+mod follow;
 mod gate;
 mod meter;
 mod open;
 mod pool;
 mod room;
 mod server;
-mod watch;
+mod stock;
 
 pub use server::listen;
 
 use crate::config::{Config, Names};
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
-use crate::phase::Phase;
+use crate::phase::Phases;
+use crate::upgrade::{self, Before, Held};
 use attempt::Carrier;
 use bytes::Bytes;
 use dewlever::api::{Outcome, Settings, WorkerId};
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
-use pool::Pool;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
+use stock::Stock;
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch as follow, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
-/// Descriptors beside those of clients and workers: standard streams, poller, signals, listeners, discovery, and
-/// those of [`crate::management::CALLERS`].
-const FIXED: usize = 32;
-/// Connections beyond the budget that are held at once to be told so.
-const TURNED_AWAY: usize = 32;
-
-/// The part of the memory that bodies of clients may hold. Heads and tasks take less than half of the rest.
-const BODIES: usize = 4;
-
 /// A request as it goes on to workers, and the way back to its client.
 pub struct Job {
     id: Arc<open::Id>,
@@ -89,42 +83,66 @@
     /// What it counts.
     pub counters: Arc<Counters>,
     /// Where the process is between its start and its end.
-    pub phase: follow::Receiver<Phase>,
+    pub phases: Phases,
     /// Where discovery is.
-    pub discovery: follow::Receiver<Option<SocketAddr>>,
+    pub discovery: watch::Receiver<Option<SocketAddr>>,
     /// Set once it can serve.
-    pub ready: follow::Sender<bool>,
+    pub ready: watch::Sender<bool>,
+    /// The process that this one takes over from, less its listener.
+    pub before: Option<Before>,
+    /// Where the next one asks.
+    pub place: Option<PathBuf>,
 }
 
-/// Serves the platform, with discovery where `discovery` says at each moment, until the node is told to stop and
-/// all that was taken is answered.
+/// Serves the platform, with discovery where `discovery` says at each moment, until the node is told to stop, or
+/// another process has taken its place, and all that was taken is answered.
 pub async fn serve(config: Config, listener: TcpListener, links: Links) -> Result<(), String> {
-    let Links { counters, phase, discovery, ready } = links;
+    let Links { counters, phases, discovery, ready, before, place } = links;
     let Config { settings, names, seed, limits, .. } = config;
     // A worker answers 200 once it has taken a job.
     let settings = Settings { tells_taken: true, ..settings };
     let names: Arc<Names> = Arc::new(names);
     let (handle, inbox): (Handle<Job>, _) = queue();
-    let budget = limits.sockets.saturating_sub(FIXED + TURNED_AWAY).max(4);
-    let pool = Arc::new(Pool::new(budget / 3, names.connect_timeout, names.conn_idle, counters.clone()));
+    let (mut known, mut other, mut ids, mut remains) = (config.known, Held::default(), Vec::new(), None);
+    if let Some(before) = before {
+        ids = before.state.ids.clone();
+        known = Some(before.state.known.clone());
+        let (held, link) = before.replace().await;
+        (other, remains) = (held, Some(link));
+    }
+    let (connect, idle) = (names.connect_timeout, names.conn_idle);
+    let stock = Arc::new(Stock::new(limits, other, connect, idle, counters.clone()));
+    let pool = stock.pool.clone();
     let carrier = Arc::new(Carrier { handle: handle.clone(), pool: pool.clone(), names: names.clone() });
     let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let core = Dispatcher::new(settings, seed, Platform { carrier }, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
-    let lists =
-        watch::Lists { handle: handle.clone(), pool, names: names.clone(), counters: counters.clone() };
-    tokio::spawn(lists.follow(discovery, config.known));
-    let server = server::Server {
-        handle,
-        names,
-        counters,
-        budget: budget - budget / 3,
-        bodies: Semaphore::new(limits.memory_mb * 1024 / BODIES),
-        ids: open::Ids::default(),
-        phase,
+    let lists = follow::Lists {
+        handle: handle.clone(),
+        pool,
+        names: names.clone(),
+        counters: counters.clone(),
+        latest: stock.latest.clone(),
     };
+    tokio::spawn(lists.follow(discovery, known));
+    if let Some(remains) = remains {
+        // The other process's open ids stay closed here for as long as it lives.
+        let ids: Vec<_> =
+            ids.iter().filter_map(|id| stock.ids.open(HeaderValue::from_str(id).ok()?)).collect();
+        let stock = stock.clone();
+        tokio::spawn(async move {
+            remains.follow(|held| stock.share(held)).await;
+            drop(ids);
+        });
+    }
+    let listener = Arc::new(listener);
+    if let Some(place) = place {
+        let (listener, phases, stock) = (Arc::downgrade(&listener), phases.clone(), stock.clone());
+        tokio::spawn(async move { upgrade::offer(&place, listener, &phases, &*stock).await });
+    }
+    let server = server::Server { handle, names, counters, stock, phase: phases.follow() };
     ready.send_replace(true);
     tokio::select! {
         () = server.run(listener, Duration::from_micros(longest)) => Ok(()),
--- a/node/src/platform/open.rs
+++ b/node/src/platform/open.rs
@@ -16,6 +16,14 @@
     }
 }
 
+impl Ids {
+    /// All that are open.
+    pub fn all(&self) -> Vec<String> {
+        let all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        all.iter().filter_map(|id| id.to_str().ok().map(String::from)).collect()
+    }
+}
+
 /// An open id. It closes once the request is answered and no attempt is out: when the last hold on it goes.
 pub struct Id {
     /// As it came.
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -62,6 +63,7 @@
 pub struct Pool {
     lines: Mutex<HashMap<WorkerId, Line>>,
     permits: Arc<Semaphore>,
+    room: AtomicUsize,
     connect_timeout: Duration,
     keep: Duration,
     counters: Arc<Counters>,
@@ -78,12 +80,29 @@
         Pool {
             lines: Mutex::default(),
             permits: Arc::new(Semaphore::new(room)),
+            room: AtomicUsize::new(room),
             connect_timeout,
             keep: idle_limit.mul_f64(KEEP),
             counters,
         }
     }
 
+    /// Room for so many connections more.
+    pub fn grow(&self, connections: usize) {
+        self.room.fetch_add(connections, Ordering::Relaxed);
+        self.permits.add_permits(connections);
+    }
+
+    /// How many connections there are.
+    pub fn taken(&self) -> usize {
+        self.room.load(Ordering::Relaxed).saturating_sub(self.permits.available_permits())
+    }
+
+    /// Closes all idle connections.
+    pub fn let_go(&self) {
+        self.lines().values_mut().for_each(|l| l.idle.clear());
+    }
+
     fn lines(&self) -> MutexGuard<'_, HashMap<WorkerId, Line>> {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -130,7 +149,7 @@
         let permit = match self.permits.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
-                self.lines().values_mut().for_each(|l| l.idle.clear());
+                self.let_go();
                 tokio::task::yield_now().await; // lets the drivers of those let go
                 self.permits.clone().try_acquire_owned().ok()?
             }
--- a/node/src/platform/room.rs
+++ b/node/src/platform/room.rs
@@ -1,6 +1,7 @@
 //! The descriptors for clients: who has one, and who gives one up where there is none left.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -20,7 +21,7 @@
 
 /// Room for so many connections.
 pub struct Room {
-    size: u32,
+    size: AtomicU32,
     permits: Arc<Semaphore>,
     quiet: Mutex<Quiet>,
 }
@@ -29,7 +30,7 @@
     /// With this many places.
     pub fn new(size: usize) -> Arc<Room> {
         let permits = Arc::new(Semaphore::new(size));
-        Arc::new(Room { size: size as u32, permits, quiet: Mutex::default() })
+        Arc::new(Room { size: AtomicU32::new(size as u32), permits, quiet: Mutex::default() })
     }
 
     fn quiet(&self) -> MutexGuard<'_, Quiet> {
@@ -53,9 +54,29 @@
         Some(seat)
     }
 
+    /// So many places more.
+    pub fn grow(&self, places: usize) {
+        self.size.fetch_add(places as u32, Ordering::Relaxed);
+        self.permits.add_permits(places);
+    }
+
+    /// How many places are taken.
+    pub fn taken(&self) -> usize {
+        (self.size.load(Ordering::Relaxed) as usize).saturating_sub(self.permits.available_permits())
+    }
+
     /// Returns once all places are free.
     pub async fn empty(&self) {
-        let _ = self.permits.acquire_many(self.size).await; // fails only for a room that was closed
+        let size = self.size.load(Ordering::Relaxed);
+        let _ = self.permits.acquire_many(size).await; // fails only for a room that was closed
+    }
+}
+
+#[cfg(test)]
+impl Room {
+    /// So many places at once.
+    pub fn permits(&self, n: u32) -> OwnedSemaphorePermit {
+        self.permits.clone().try_acquire_many_owned(n).unwrap()
     }
 }
 
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -1,9 +1,9 @@
 //! The clients' side: connections, requests in, one final answer out for each.
 
 use super::gate::{Framing, Gate, Watcher};
-use super::open::Ids;
-use super::room::{Room, Seat};
-use super::{fields, Job, TURNED_AWAY};
+use super::room::Seat;
+use super::stock::Stock;
+use super::{fields, Job};
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 const BODY_MAX: usize = 64 * 1024;
@@ -37,6 +37,8 @@
 const LEAVE_WAIT: Duration = Duration::from_millis(50);
 /// Between tries to accept where the process or the machine has no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// For which a process that has handed over stays at least, to serve again should the new one fail.
+const LINGER: Duration = Duration::from_secs(5);
 /// Advice to clients over the budget.
 const SOON: Duration = Duration::from_millis(500);
 
@@ -44,6 +46,10 @@
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
+    // Guards a start beside a process of the node that hangs and does not hand its listener over.
+    if let Err(e) = socket.set_reuseport(true) {
+        log::debug!("no shared address: {e}");
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -55,45 +61,57 @@
     pub handle: Handle<Job>,
     pub names: Arc<Names>,
     pub counters: Arc<Counters>,
-    pub budget: usize,
-    /// The memory for bodies, in KiB.
-    pub bodies: Semaphore,
-    pub ids: Ids,
+    pub stock: Arc<Stock>,
     pub phase: watch::Receiver<Phase>,
 }
 
 impl Server {
-    /// Accepts and serves; ends once the node is told to stop and all that was taken is answered.
-    pub async fn run(self, listener: TcpListener, longest: Duration) {
+    /// Accepts and serves; ends once the node is told to stop, or has handed over, and all that was taken is
+    /// answered.
+    pub async fn run(self, listener: Arc<TcpListener>, longest: Duration) {
         let server = Arc::new(self);
-        let (room, beyond) = (Room::new(server.budget), Arc::new(Semaphore::new(TURNED_AWAY)));
-        let mut phase = server.phase.clone();
-        loop {
-            let socket = tokio::select! {
-                biased;
-                socket = accept(&listener) => socket,
-                _ = phase.wait_for(|p| !p.accepts()) => break,
-            };
-            server.take(socket, &room, &beyond).await;
-        }
-        // Guards what the backlog holds at the close: it counts as taken.
-        while let Ok(socket) = timeout(Duration::ZERO, accept(&listener)).await {
-            server.take(socket, &room, &beyond).await;
+        let (mut phase, mut ours) = (server.phase.clone(), true);
+        while ours || *phase.borrow() != Phase::Closing {
+            if phase.borrow_and_update().accepts() {
+                ours = true;
+                let socket = tokio::select! {
+                    biased;
+                    socket = accept(&listener) => Some(socket),
+                    _ = phase.wait_for(|p| !p.accepts()) => None,
+                };
+                if let Some(socket) = socket {
+                    server.take(socket).await;
+                }
+            } else if *phase.borrow() == Phase::Closing {
+                // Guards what the backlog holds at the close: it counts as taken.
+                while let Ok(socket) = timeout(Duration::ZERO, accept(&listener)).await {
+                    server.take(socket).await;
+                }
+                break;
+            } else {
+                // Handed over: the listener is another process's, and this one's again should that one end soon.
+                ours = false;
+                let left = async { tokio::join!(sleep(LINGER), server.stock.no_client()) };
+                tokio::select! {
+                    _ = phase.changed() => {}
+                    _ = left => return,
+                }
+            }
         }
         drop(listener);
         // By then all deadlines have passed. SIGKILL may come before: no sooner than 3.7 s after SIGTERM.
         let end = Instant::now() + longest.saturating_sub(Duration::from_millis(40));
-        if timeout_at(end, room.empty()).await.is_err() {
+        if timeout_at(end, server.stock.no_client()).await.is_err() {
             log::warn!("some connections stayed open to the end");
         }
     }
 
-    async fn take(self: &Arc<Self>, socket: TcpStream, room: &Arc<Room>, beyond: &Arc<Semaphore>) {
+    async fn take(self: &Arc<Self>, socket: TcpStream) {
         let server = self.clone();
-        if let Some(seat) = room.seat().await {
+        if let Some(seat) = self.stock.room.seat().await {
             self.counters.accepted.add();
             tokio::spawn(async move { server.serve(socket, seat).await });
-        } else if let Ok(permit) = beyond.clone().try_acquire_owned() {
+        } else if let Ok(permit) = self.stock.beyond.clone().try_acquire_owned() {
             tokio::spawn(async move {
                 // Past the wait the client has had its time to send and read.
                 let _ = timeout(TURN_AWAY_WAIT, server.turn_away(socket)).await;
@@ -195,6 +213,7 @@
             return Ok(match phase {
                 Phase::Serving => plain(StatusCode::OK, "up"),
                 Phase::Draining => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
+                Phase::HandedOver => plain(StatusCode::SERVICE_UNAVAILABLE, "handed over"),
                 _ => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
             });
         }
@@ -212,7 +231,7 @@
         }
         // Guards memory against many bodies at once: the room for one is taken before it is read.
         let most = body.size_hint().upper().unwrap_or(BODY_MAX as u64).min(BODY_MAX as u64);
-        let Ok(_room) = self.bodies.try_acquire_many(most.div_ceil(1024) as u32) else {
+        let Ok(_room) = self.stock.bodies.try_acquire_many(most.div_ceil(1024) as u32) else {
             self.counters.turned_away.add();
             return Ok(refusal(SOON));
         };
@@ -233,8 +252,11 @@
         let (id, key) = (head.headers.get("x-request-id"), head.headers.get("idempotency-key"));
         let id = id.ok_or((StatusCode::BAD_REQUEST, "X-Request-Id is missing"))?.clone();
         // Guards the first of two: workers would take the second one for it, or for its copy.
-        let id =
-            self.ids.open(id).ok_or((StatusCode::CONFLICT, "a request with this X-Request-Id is open"))?;
+        let id = self
+            .stock
+            .ids
+            .open(id)
+            .ok_or((StatusCode::CONFLICT, "a request with this X-Request-Id is open"))?;
         let (reply, answer) = oneshot::channel();
         let job = Job { id, key: key.cloned(), target, body, reply };
         let mut client = Client { handle: &self.handle, id: self.handle.accept(fields, job), waits: true };
--- /dev/null
+++ b/node/src/platform/stock.rs
@@ -0,0 +1,155 @@
+//! What the front may hold: descriptors of clients and workers, memory for bodies, and the ids and the list that
+//! go to the process that takes its place. While two processes are one node, both share what `limits` allows.
+
+use super::fields::ListBody;
+use super::open::Ids;
+use super::pool::Pool;
+use super::room::Room;
+use crate::config::Limits;
+use crate::counters::Counters;
+use crate::upgrade::{Held, Holder, State};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Semaphore;
+
+/// Descriptors beside those of clients and workers: standard streams, poller, signals, listeners, discovery, a
+/// link to another process, and those of [`crate::management::CALLERS`].
+const FIXED: usize = 32;
+/// Connections beyond the budget that are held at once to be told so.
+const TURNED_AWAY: usize = 32;
+/// Descriptors for clients and workers that a node has however little is left: it serves a little at least.
+const FLOOR: usize = 12;
+/// The part of the memory that bodies of clients may hold. Heads and tasks take less than half of the rest.
+const BODIES: usize = 4;
+
+/// How much there is for each use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Shares {
+    clients: usize,
+    workers: usize,
+    bodies_kib: usize,
+}
+
+impl Shares {
+    fn new(limits: Limits, other: Held) -> Shares {
+        let budget = limits.sockets.saturating_sub(FIXED + TURNED_AWAY).max(4);
+        let budget = budget.saturating_sub(other.descriptors).max(FLOOR.min(budget));
+        let workers = budget / 3;
+        let bodies_kib = (limits.memory_mb * 1024 / BODIES).saturating_sub(other.bodies_kib);
+        Shares { clients: budget - workers, workers, bodies_kib }
+    }
+}
+
+/// All that is shared out.
+pub struct Stock {
+    /// Places for clients.
+    pub room: Arc<Room>,
+    /// Places for those that find none.
+    pub beyond: Arc<Semaphore>,
+    /// Connections to workers.
+    pub pool: Arc<Pool>,
+    /// Memory for bodies, in KiB.
+    pub bodies: Semaphore,
+    /// Ids that are open.
+    pub ids: Ids,
+    /// The workers, as told last.
+    pub latest: Arc<Mutex<ListBody>>,
+    limits: Limits,
+    given: Mutex<Shares>,
+}
+
+impl Stock {
+    /// What these limits allow beside what another process holds.
+    pub fn new(
+        limits: Limits,
+        other: Held,
+        connect_timeout: Duration,
+        conn_idle: Duration,
+        counters: Arc<Counters>,
+    ) -> Stock {
+        let given = Shares::new(limits, other);
+        Stock {
+            room: Room::new(given.clients),
+            beyond: Arc::new(Semaphore::new(TURNED_AWAY)),
+            pool: Arc::new(Pool::new(given.workers, connect_timeout, conn_idle, counters)),
+            bodies: Semaphore::new(given.bodies_kib),
+            ids: Ids::default(),
+            latest: Arc::default(),
+            limits,
+            given: Mutex::new(given),
+        }
+    }
+
+    /// Returns once no client is left, not even one that is being told that there is no room.
+    pub async fn no_client(&self) {
+        self.room.empty().await;
+        let _ = self.beyond.acquire_many(TURNED_AWAY as u32).await; // never closed
+    }
+
+    /// The other process now holds no more than this: what it gave up is there for this one.
+    pub fn share(&self, other: Held) {
+        let mut given = self.given.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Shares::new(self.limits, other);
+        self.room.grow(now.clients.saturating_sub(given.clients));
+        self.pool.grow(now.workers.saturating_sub(given.workers));
+        self.bodies.add_permits(now.bodies_kib.saturating_sub(given.bodies_kib));
+        *given = Shares {
+            clients: now.clients.max(given.clients),
+            workers: now.workers.max(given.workers),
+            bodies_kib: now.bodies_kib.max(given.bodies_kib),
+        };
+    }
+}
+
+impl Holder for Stock {
+    fn state(&self) -> State {
+        let known = self.latest.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        State { known, ids: self.ids.all() }
+    }
+
+    fn held(&self) -> Held {
+        let clients = self.room.taken();
+        let turned_away = TURNED_AWAY.saturating_sub(self.beyond.available_permits());
+        // Each client that is left may yet have an attempt out.
+        let descriptors = FIXED + clients + turned_away + clients.max(self.pool.taken());
+        let given = self.given.lock().unwrap_or_else(PoisonError::into_inner).bodies_kib;
+        Held { descriptors, bodies_kib: given.saturating_sub(self.bodies.available_permits()) }
+    }
+
+    fn let_go(&self) {
+        self.pool.let_go();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the limits while two processes are one node: together they never hold more than one may.
+    #[test]
+    fn what_another_process_holds_is_not_there_until_it_gives_it_up() {
+        for (sockets, memory_mb) in [(128, 16), (256, 32), (1024, 192)] {
+            let limits = Limits { sockets, memory_mb };
+            let old = Stock::new(limits, Held::default(), Duration::ZERO, Duration::ZERO, Arc::default());
+            let all = *old.given.lock().unwrap();
+            let clients = old.room.permits((all.clients / 4) as u32);
+            let bodies = old.bodies.try_acquire_many(all.bodies_kib as u32 / 2).unwrap();
+            let held = old.held();
+            let new = Stock::new(limits, held, Duration::ZERO, Duration::ZERO, Arc::default());
+            let given = *new.given.lock().unwrap();
+            let together = held.descriptors + FIXED + TURNED_AWAY + given.clients + given.workers;
+            assert!(together <= sockets || given.clients + given.workers <= FLOOR, "{together} of {sockets}");
+            assert_eq!(held.bodies_kib + given.bodies_kib, all.bodies_kib);
+            drop((clients, bodies));
+            new.share(old.held());
+            let less = *new.given.lock().unwrap();
+            assert!(less.clients > given.clients && less.clients < all.clients, "it is still there");
+            new.share(held); // nothing is taken away again
+            new.share(Held::default());
+            assert_eq!(*new.given.lock().unwrap(), all);
+            assert_eq!(new.room.taken() + new.pool.taken(), 0);
+            let _all = new.room.permits(all.clients as u32);
+            assert_eq!((new.room.taken(), new.bodies.available_permits()), (all.clients, all.bodies_kib));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/upgrade.rs
@@ -0,0 +1,230 @@
+//! One node over two processes while a new version takes over. The new process asks the one before it, over a
+//! Unix socket, for its listener and what it knows; once it serves, the old one takes nothing new and answers
+//! what it has. What either holds counts for both, and the end of their link tells each of the other's end.
+
+use crate::phase::Phases;
+use crate::platform::fields::ListBody;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde::{Deserialize, Serialize};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::sync::Weak;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Interest};
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::time::{sleep, timeout};
+
+/// For an answer of the other process; one that gives none is held to hang.
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+/// For the new process to serve once it was told all.
+const START_WAIT: Duration = Duration::from_secs(10);
+/// Between words on what the old process still holds.
+const WORD_EVERY: Duration = Duration::from_millis(50);
+/// Between tries to accept where there is no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What goes with the listener.
+#[derive(Serialize, Deserialize)]
+pub struct State {
+    /// The workers as the old process knows them.
+    pub known: ListBody,
+    /// The wire ids that are open there.
+    pub ids: Vec<String>,
+}
+
+/// What the old process may hold at most from now on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// Descriptors.
+    pub descriptors: usize,
+    /// Memory for bodies.
+    pub bodies_kib: usize,
+}
+
+/// A front that can be taken over.
+pub trait Holder {
+    /// What goes with the listener.
+    fn state(&self) -> State;
+    /// What is held now.
+    fn held(&self) -> Held;
+    /// Nothing new comes: what is kept for later can go.
+    fn let_go(&self);
+}
+
+/// Where the process that serves this address waits for the next one: in `TMPDIR`, which the platform keeps to
+/// one node; without it there are no upgrades.
+pub fn place(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
+    Some(PathBuf::from(folder).join(format!("molevale-{listen}")))
+}
+
+/// The process that serves now, as the new one sees it.
+pub struct Before {
+    /// What it knew.
+    pub state: State,
+    link: BufReader<UnixStream>,
+}
+
+impl Before {
+    /// Asks at this place, for the listener with all that waits there too. `None` where nobody answers: a file may
+    /// be left from a process that is gone.
+    pub async fn find(place: &Path) -> Option<(TcpListener, Before)> {
+        let link = UnixStream::connect(place).await.ok()?;
+        let asked = timeout(ANSWER_WAIT, Before::ask(link)).await;
+        match asked.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+            Ok(found) => Some(found),
+            Err(e) => {
+                log::warn!("upgrade: the process before gives no answer, starting without it: {e}");
+                None
+            }
+        }
+    }
+
+    async fn ask(link: UnixStream) -> io::Result<(TcpListener, Before)> {
+        let listener = link.async_io(Interest::READABLE, || receive(&link)).await?;
+        let listener = std::net::TcpListener::from(listener);
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let mut link = BufReader::new(link);
+        let state = serde_json::from_str(&line(&mut link).await?)?;
+        Ok((listener, Before { state, link }))
+    }
+
+    /// Tells it that this process serves; returns what it still holds. From here on it takes nothing new.
+    pub async fn replace(mut self) -> (Held, Remains) {
+        let told = async {
+            self.link.get_mut().write_all(b"serving\n").await?;
+            Ok::<Held, io::Error>(serde_json::from_str(&line(&mut self.link).await?)?)
+        };
+        let held = timeout(ANSWER_WAIT, told).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        let held = held.unwrap_or_else(|e| {
+            log::warn!("upgrade: the process before has fallen silent: {e}");
+            Held::default()
+        });
+        log::info!("upgrade: took over from the process before, which still holds {held:?}");
+        (held, Remains(self.link))
+    }
+}
+
+/// What remains of the process before.
+pub struct Remains(BufReader<UnixStream>);
+
+impl Remains {
+    /// Brings each word on what it still holds; nothing, at its end.
+    pub async fn follow(mut self, mut hear: impl FnMut(Held)) {
+        while let Ok(text) = line(&mut self.0).await {
+            if let Ok(held) = serde_json::from_str(&text) {
+                hear(held);
+            }
+        }
+        log::info!("upgrade: the process before has ended");
+        hear(Held::default());
+    }
+}
+
+/// Waits at this place for the next process and lets it take over, as long as there is a listener.
+pub async fn offer(place: &Path, listener: Weak<TcpListener>, phases: &Phases, holder: &impl Holder) {
+    let socket = match bind(place) {
+        Ok(socket) => socket,
+        // Where there are no such sockets, a new version starts as after a stop.
+        Err(e) => return log::warn!("upgrade: off: {}: {e}", place.display()),
+    };
+    log::info!("upgrade: the next process may take over at {}", place.display());
+    while listener.strong_count() > 0 {
+        match socket.accept().await {
+            Ok((link, _)) => {
+                if let Err(e) = hand_over(link, &listener, phases, holder).await {
+                    log::warn!("upgrade: this process serves on: {e}");
+                }
+            }
+            Err(e) => {
+                log::warn!("upgrade: cannot accept: {e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Guards against files that are left over: the new name takes the old one's place in one step.
+fn bind(place: &Path) -> io::Result<UnixListener> {
+    let own = place.with_extension(std::process::id().to_string());
+    let _ = std::fs::remove_file(&own); // there is one only if this process's number was in use before
+    let socket = UnixListener::bind(&own)?;
+    std::fs::rename(&own, place)?;
+    Ok(socket)
+}
+
+async fn hand_over(
+    link: UnixStream,
+    listener: &Weak<TcpListener>,
+    phases: &Phases,
+    holder: &impl Holder,
+) -> io::Result<()> {
+    let mut link = BufReader::new(link);
+    let told = async {
+        let listener = listener.upgrade().ok_or(ErrorKind::NotConnected)?;
+        let link = link.get_mut();
+        link.async_io(Interest::WRITABLE, || send(link, &listener)).await?;
+        drop(listener);
+        say(link, &holder.state()).await
+    };
+    timeout(ANSWER_WAIT, told).await??;
+    log::info!("upgrade: a new process starts");
+    if timeout(START_WAIT, line(&mut link)).await?? != "serving" {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    let before = phases.hand_over();
+    holder.let_go();
+    let ended = loop {
+        if let Err(e) = say(link.get_mut(), &holder.held()).await {
+            break e;
+        }
+        if let Ok(Err(e)) = timeout(WORD_EVERY, line(&mut link)).await {
+            break e;
+        }
+    };
+    phases.take_back(before);
+    Err(ended)
+}
+
+async fn say(link: &mut UnixStream, what: &impl Serialize) -> io::Result<()> {
+    let mut text = serde_json::to_vec(what)?;
+    text.push(b'\n');
+    link.write_all(&text).await
+}
+
+async fn line(link: &mut BufReader<UnixStream>) -> io::Result<String> {
+    let mut text = String::new();
+    link.read_line(&mut text).await?;
+    match text.strip_suffix('\n') {
+        Some(line) => Ok(line.to_string()),
+        None => Err(ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+fn send(link: &UnixStream, listener: &TcpListener) -> io::Result<()> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    let descriptors = [listener.as_fd()];
+    control.push(SendAncillaryMessage::ScmRights(&descriptors));
+    sendmsg(link, &[IoSlice::new(b"L")], &mut control, SendFlags::empty())?;
+    Ok(())
+}
+
+fn receive(link: &UnixStream) -> io::Result<OwnedFd> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut byte = [0];
+    recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let mut descriptors = control.drain().filter_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
+        _ => None,
+    });
+    descriptors.next().and_then(|mut d| d.next()).ok_or(ErrorKind::InvalidData.into())
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -4,10 +4,12 @@
 use molevale::counters::Counters;
 use molevale::faktory::{Node, Operator};
 use molevale::phase::{Phase, Phases};
+use molevale::upgrade::Before;
 use molevale::{config, platform};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
 use std::time::Duration;
@@ -339,6 +341,17 @@
 
     /// The same, with this much memory.
     pub async fn within(known: Vec<Value>, sockets: usize, memory_mb: usize) -> Platform {
+        Platform::at(None, known, sockets, memory_mb, None).await
+    }
+
+    /// The same, where a next process may take over, and from the one before, if it was found.
+    pub async fn at(
+        place: Option<PathBuf>,
+        known: Vec<Value>,
+        sockets: usize,
+        memory_mb: usize,
+        found: Option<(TcpListener, Before)>,
+    ) -> Platform {
         let _time = still();
         let (agent, at, _) = Agent::start().await;
         let config = json!({
@@ -347,15 +360,25 @@
             "known": {"revision": 1, "complete": true, "members": known}, "settings": settings(true, 60_000_000),
         });
         let config = config::parse(&config.to_string(), |_| None).unwrap();
-        let listener = platform::listen(config.listen).unwrap();
+        let (listener, before) = match found {
+            Some((listener, before)) => (listener, Some(before)),
+            None => (platform::listen(config.listen).unwrap(), None),
+        };
         let address = listener.local_addr().unwrap();
         let phases = Phases::default();
         let counters = Arc::new(Counters::default());
-        let (discovery, place) = watch::channel(Some(at));
-        let (ready, _) = watch::channel(false);
-        let links =
-            platform::Links { counters: counters.clone(), phase: phases.follow(), discovery: place, ready };
+        let (discovery, followed) = watch::channel(Some(at));
+        let (ready, mut is_ready) = watch::channel(false);
+        let links = platform::Links {
+            counters: counters.clone(),
+            phases: phases.clone(),
+            discovery: followed,
+            ready,
+            before,
+            place,
+        };
         let served = tokio::spawn(platform::serve(config, listener, links));
+        is_ready.wait_for(|ready| *ready).await.unwrap();
         Platform { address, counters, phases, served, discovery, agent, old: None, _time }
     }
 
--- a/node/tests/program.rs
+++ b/node/tests/program.rs
@@ -168,3 +168,42 @@
     assert!(node.0.wait().unwrap().success());
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Guards the way from one process to the next: the same start again takes over, and one that can't start changes
+/// nothing.
+#[test]
+fn started_again_a_new_process_takes_over_or_leaves_the_old_one_serving() {
+    let pid = std::process::id();
+    let (high, low) = (pid / 256 % 256, pid % 256);
+    let folder = std::env::temp_dir().join(format!("molevale-{pid}-upgrade"));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("config.json");
+    let text = serde_json::json!({"name": "n1", "listen": format!("127.77.{high}.{low}:8443"), "seed": "1",
+        "discovery": "127.0.0.1:1", "settings": common::settings(true, 1_000_000)});
+    std::fs::write(&path, text.to_string()).unwrap();
+    let start = |management: u16| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_molevale"));
+        command.env("RELAY_CONFIG", &path).env("TMPDIR", &folder).stderr(Stdio::piped());
+        command.env("RELAY_MANAGEMENT", format!("127.77.{high}.{low}:{management}"));
+        let mut node = Running(command.spawn().unwrap());
+        let log = BufReader::new(node.0.stderr.take().unwrap()).lines().map(Result::unwrap);
+        (node, log)
+    };
+    fn said(log: &mut impl Iterator<Item = String>, what: &str) {
+        assert!(log.any(|l| l.contains(what)), "the log ends without: {what}");
+    }
+    let (mut old, mut old_log) = start(9001);
+    said(&mut old_log, "upgrade: the next process may take over");
+    let (mut failing, mut failing_log) = start(9001); // its second address is taken
+    said(&mut failing_log, "management");
+    assert_eq!(failing.0.wait().unwrap().code(), Some(2));
+    let (mut new, mut new_log) = start(9002);
+    said(&mut new_log, "upgrade: took over");
+    said(&mut old_log, "Serving -> HandedOver");
+    old.signal("-TERM");
+    assert!(old.0.wait().unwrap().success());
+    said(&mut new_log, "upgrade: the process before has ended");
+    new.signal("-TERM");
+    assert!(new.0.wait().unwrap().success());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/node/tests/upgrade.rs
@@ -0,0 +1,115 @@
+//! Two processes as one node: here both are nodes of one process, on one Unix socket.
+
+mod common;
+
+use common::{request, Client, Platform, Worker};
+use molevale::phase::Phase;
+use molevale::upgrade::Before;
+use serde_json::json;
+use std::path::{Path, PathBuf};
+use tokio::net::UnixListener;
+use tokio::task::yield_now;
+use tokio::time::{advance, Duration};
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+fn place(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("molevale-test-{}-{name}", std::process::id()))
+}
+
+async fn old_node(place: &Path) -> (Worker, Platform) {
+    let worker = Worker::start().await;
+    let known = vec![worker.line("s-1", "in_service")];
+    let old = Platform::at(Some(place.to_path_buf()), known, 256, 32, None).await;
+    while !place.exists() {
+        yield_now().await;
+    }
+    (worker, old)
+}
+
+/// Guards clients of a node whose next version starts: no connection is refused or reset, what the old process has
+/// it answers, what comes goes to the new one, which knows the workers; the old one ends by itself.
+#[tokio::test(start_paused = true)]
+async fn a_new_process_takes_over_and_the_old_one_answers_what_it_has() {
+    let place = place("over");
+    let (worker, old) = old_node(&place).await;
+    let mut idle = Client::connect(&old).await;
+    assert_eq!(idle.ask(UP).await.status, 200);
+    let mut busy = Client::connect(&old).await;
+    let text = request("lodge", "9b1f03aa5c7e2d41", 60.0, "");
+    busy.tell(&text).await;
+    let mut before = worker.take().await;
+    before.begin().await;
+    while old.counters.word.get() < 1 {
+        yield_now().await;
+    }
+    let found = Before::find(&place).await.expect("the old process answers");
+    assert!(old.phases.follow().borrow().up(), "it serves until the new one does");
+    let new = Platform::at(Some(place.clone()), vec![], 256, 32, Some(found)).await;
+    assert_eq!(new.address, old.address);
+    assert!(idle.answer().await.is_none(), "an idle connection is closed");
+    let mut late = Client::connect(&old).await;
+    late.tell(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await;
+    let mut after = worker.take().await; // it was told of this worker by the old one only
+    assert_eq!((new.counters.taken.get(), old.counters.taken.get()), (1, 1));
+    after.begin().await;
+    let mut again = Client::connect(&old).await;
+    assert_eq!(again.ask(&text).await.status, 409, "the id is open in the old process");
+    for (seen, client, result) in [(&mut before, &mut busy, "a"), (&mut after, &mut late, "b")] {
+        seen.say(json!({"state": "done", "result": result})).await;
+        assert_eq!(client.answer().await.unwrap().body, result);
+    }
+    assert!(busy.answer().await.is_none());
+    advance(Duration::from_secs(5)).await;
+    assert_eq!(old.served.await.unwrap(), Ok(()), "the old one has nothing left");
+    assert_eq!(late.ask(UP).await.status, 200);
+    // The place is the new one's now.
+    assert!(Before::find(&place).await.is_some());
+    std::fs::remove_file(place).unwrap();
+}
+
+/// Guards the node against a new process that fails: before it serves, and after.
+#[tokio::test(start_paused = true)]
+async fn the_old_process_serves_on_where_the_new_one_fails() {
+    let place = place("fails");
+    let (worker, old) = old_node(&place).await;
+    drop(Before::find(&place).await.expect("the old process answers"));
+    assert_eq!(Client::connect(&old).await.ask(UP).await.status, 200);
+    let (listener, before) = Before::find(&place).await.expect("it answers again");
+    let (held, remains) = before.replace().await;
+    assert!(held.descriptors > 0);
+    let mut phase = old.phases.follow();
+    assert_eq!(*phase.borrow(), Phase::HandedOver);
+    let mut client = Client::connect(&old).await;
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    drop((listener, remains));
+    phase.wait_for(|p| *p == Phase::Serving).await.unwrap();
+    worker.take().await.done("r").await; // what waited at the listener is there still
+    assert_eq!(client.answer().await.unwrap().body, "r");
+    std::fs::remove_file(place).unwrap();
+}
+
+/// Guards the start where the process before is gone or hangs.
+#[tokio::test(start_paused = true)]
+async fn a_file_that_is_left_over_and_a_process_that_hangs_hold_up_no_start() {
+    let place = place("stale");
+    drop(UnixListener::bind(&place).unwrap());
+    assert!(place.exists() && Before::find(&place).await.is_none());
+    let (worker, node) = old_node(&place).await; // its file takes the old one's place
+    while Before::find(&place).await.is_none() {
+        yield_now().await;
+    }
+    drop((worker, node));
+    std::fs::remove_file(&place).unwrap();
+    let _hung = UnixListener::bind(&place).unwrap();
+    let asked = tokio::spawn({
+        let place = place.clone();
+        async move { Before::find(&place).await.is_none() }
+    });
+    for _ in 0..11 {
+        yield_now().await;
+        advance(Duration::from_millis(100)).await;
+    }
+    assert!(asked.await.unwrap());
+    std::fs::remove_file(place).unwrap();
+}
