--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::faktory::Operator;
 use crate::platform::fields::ListBody;
+use crate::retune::Tuning;
 use dewlever::api::Settings;
 use dewlever::settings::{self, Field, Pairs};
 use serde::Deserialize;
@@ -51,10 +52,16 @@
 pub struct Names {
     /// The classes, in the module's order.
     pub classes: Vec<String>,
+    /// Which of them, by number, are offered no more.
+    pub retired: Vec<usize>,
+    /// For each of them, the one that had its name before, if any.
+    pub continues: Vec<Option<usize>>,
     /// Which of them carry a key.
     pub keyed: Vec<bool>,
     /// The tenants.
     pub tenants: Vec<String>,
+    /// Which of them, by number, are named no more.
+    pub gone_tenants: Vec<usize>,
     /// The zones.
     pub zones: Vec<String>,
     /// The kinds of machine.
@@ -65,6 +72,20 @@
     pub connect_timeout: Duration,
     /// The time after which workers close idle connections.
     pub conn_idle: Duration,
+    /// The longest deadline of a class, also of those that are offered no more.
+    pub longest: Duration,
+}
+
+impl Names {
+    /// The number of the class that is offered under this name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        (0..self.classes.len()).find(|n| self.classes[*n] == name && !self.retired.contains(n))
+    }
+
+    /// The number of the tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        (0..self.tenants.len()).find(|n| self.tenants[*n] == name && !self.gone_tenants.contains(n))
+    }
 }
 
 /// A node's configuration.
@@ -84,10 +105,10 @@
     pub limits: Limits,
     /// The workers as last known.
     pub known: Option<ListBody>,
-    /// The module's settings.
-    pub settings: Settings,
-    /// What the wires need beside them.
-    pub names: Names,
+    /// The module's settings, and what the wires need beside them.
+    pub tuning: Tuning,
+    /// All that it was read from, less what is for starts only.
+    pub text: Value,
 }
 
 impl Config {
@@ -98,7 +119,6 @@
             ("listen", self.listen != newer.listen),
             ("management", self.management != newer.management),
             ("limits", self.limits != newer.limits),
-            ("settings", self.settings != newer.settings || self.names != newer.names),
         ]
         .into_iter()
         .filter_map(|(name, differs)| differs.then_some(name))
@@ -196,7 +216,11 @@
 
 /// Reads a configuration's text.
 pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let raw: Raw = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+    let mut text: Value = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+    let raw: Raw = serde_json::from_value(text.clone()).map_err(|e| format!("configuration: {e}"))?;
+    if let Some(keys) = text.as_object_mut() {
+        keys.retain(|key, _| key != "known" && key != "seed");
+    }
     let optional = |name: &str, given: Option<String>| -> Result<Option<SocketAddr>, String> {
         let Some(text) = var(name).or(given) else { return Ok(None) };
         text.parse().map(Some).map_err(|_| format!("configuration: {name}={text} is not an address"))
@@ -204,6 +228,8 @@
     let address = |name, given| optional(name, given)?.ok_or_else(|| format!("configuration: no {name}"));
     let (settings, names) = read_settings(&raw.settings)?;
     Ok(Config {
+        tuning: Tuning { settings, names },
+        text,
         listen: address("RELAY_LISTEN", raw.listen)?,
         discovery: address("RELAY_DISCOVERY", raw.discovery)?,
         management: optional("RELAY_MANAGEMENT", raw.management)?,
@@ -211,8 +237,6 @@
         seed: u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| crate::dispatcher::number_of(&raw.seed)),
         limits: raw.limits,
         known: raw.known,
-        settings,
-        names,
     })
 }
 
@@ -227,15 +251,28 @@
         |at: &str, n: usize| (0..n).map(|i| pairs.text(&format!("{at}.{i}.Name")).to_string()).collect();
     let keyed = |c: &dewlever::api::ClassSettings| matches!(c.semantics, dewlever::api::Semantics::Keyed(_));
     let report: Vec<String> = list("Stats.Fields");
+    let classes: Vec<String> = named("Profiles", settings.classes.len());
+    let tenants: Vec<String> = named("Parties", settings.tenants.len());
+    for (i, names) in [&classes, &tenants].into_iter().enumerate() {
+        let odd = |(n, name): (usize, &String)| name.is_empty() || names[..n].contains(name);
+        if names.iter().enumerate().any(odd) {
+            let what = ["Profiles", "Parties"][i];
+            return Err(format!("settings: each of {what} needs a Name of its own"));
+        }
+    }
     let names = Names {
-        classes: named("Profiles", settings.classes.len()),
+        continues: vec![None; classes.len()],
+        classes,
+        retired: Vec::new(),
         keyed: settings.classes.iter().map(keyed).collect(),
-        tenants: named("Parties", settings.tenants.len()),
+        tenants,
+        gone_tenants: Vec::new(),
         zones: list("Azs"),
         kinds: list("HostTypes"),
         report: report.into_iter().zip(fields).collect(),
         connect_timeout: Duration::from_micros(pairs.span("Limits.ConnectTimeoutUs", 1_000_000)?),
         conn_idle: Duration::from_micros(pairs.span("Limits.ConnIdleUs", 60_000_000)?),
+        longest: Duration::from_micros(settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0)),
     };
     Ok((settings, names))
 }
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -73,6 +73,7 @@
     BrokeKept(Tag),
     List(Vec<WorkerEntry>, bool),
     ListFailed,
+    Settings(Box<Settings>, Vec<Option<usize>>),
 }
 
 /// The way into a core's queue. The queue is not bounded in itself: what can wait in it is bounded by the
@@ -131,6 +132,12 @@
         self.put(Input::List(entries, full));
     }
 
+    /// New settings, laid over those before: requests handed in from here on may be of a new class. `continues`
+    /// tells of each class which one's run times its own are about like.
+    pub fn settings(&self, settings: Settings, continues: Vec<Option<usize>>) {
+        self.put(Input::Settings(Box::new(settings), continues));
+    }
+
     /// The worker list could not be had.
     pub fn list_failed(&self) {
         self.put(Input::ListFailed);
@@ -174,6 +181,7 @@
     job: Option<F::Job>, // until its answer
     until: Instant,
     sent: u32,
+    most: u32,                       // attempts, by the settings that it came in under
     out: Option<Option<F::Attempt>>, // an attempt is out; the inner hold is gone once it was told to stop
 }
 
@@ -250,7 +258,7 @@
             Input::Accept(request, job) => {
                 self.counters.taken.add();
                 let until = Instant::now() + Duration::from_micros(request.left_us);
-                let entry = Entry { job: Some(job), until, sent: 0, out: None };
+                let entry = Entry { job: Some(job), until, sent: 0, most: self.max_attempts, out: None };
                 self.table.insert(request.id, entry);
                 self.due.push(Reverse((until, Due::Deadline(request.id))));
                 self.tell(Event::Accept(request));
@@ -282,6 +290,10 @@
                 self.tell(if full { Event::FullList(entries) } else { Event::ListChanges(entries) });
             }
             Input::ListFailed => self.tell(Event::ListFailed),
+            Input::Settings(settings, continues) => {
+                self.max_attempts = settings.max_attempts;
+                self.tell(Event::Settings { settings, continues });
+            }
         }
     }
 
@@ -387,8 +399,7 @@
     }
 
     fn send(&mut self, id: RequestId, worker: WorkerId) {
-        let max = self.max_attempts;
-        let may = |e: &&mut Entry<F>| e.out.is_none() && e.sent < max && e.until > Instant::now();
+        let may = |e: &&mut Entry<F>| e.out.is_none() && e.sent < e.most && e.until > Instant::now();
         let Some(entry) = self.table.get_mut(&id).filter(may) else { return self.moot(id) };
         let Some(job) = &entry.job else { return self.moot(id) };
         let tag = Tag { id, attempt: entry.sent };
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod phase;
 pub mod platform;
 pub mod reload;
+pub mod retune;
 pub mod upgrade;
 
 use config::{Sources, Told};
@@ -57,7 +58,7 @@
             tokio::spawn(management.serve(listener));
         }
         let reload = Reload::new(sources, told);
-        let discovery = reload.discovery();
+        let (discovery, tuning) = (reload.discovery(), reload.tuning());
         reload.on_signal().map_err(|e| format!("no signals: {e}"))?;
         let counters = [Arc::new(Counters::default()), Arc::new(Counters::default())];
         let say = |counters: &[Arc<Counters>; 2]| {
@@ -94,7 +95,8 @@
                         }
                     };
                     let counters = counters[0].clone();
-                    let links = Links { counters, phases: phases.clone(), discovery, ready, before, place };
+                    let links =
+                        Links { counters, phases: phases.clone(), discovery, tuning, ready, before, place };
                     platform::serve(config, listener, links).await
                 }
                 None => Ok(()),
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -15,7 +15,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{timeout, Instant};
 
 /// A worker's answer holds 64 KiB at most, so a line does.
@@ -37,7 +37,7 @@
 pub struct Carrier {
     pub handle: Handle<Job>,
     pub pool: Arc<Pool>,
-    pub names: Arc<Names>,
+    pub names: watch::Receiver<Arc<Names>>,
 }
 
 struct End {
@@ -124,7 +124,7 @@
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
                 _ => Outcome::Error,
             };
-            let report = fields::load_header(&head.headers, &self.names);
+            let report = fields::load_header(&head.headers, &self.names.borrow());
             return End { outcome, report, result: Bytes::new(), kept: false, rest: Some((body, WORDS_MAX)) };
         }
         self.handle.taken(tag);
@@ -135,7 +135,7 @@
                 if line.trim_ascii().is_empty() {
                     continue;
                 }
-                let Some(news) = fields::news(&line, parcel.id.value.as_bytes(), &self.names) else {
+                let Some(news) = fields::news(&line, parcel.id.value.as_bytes(), &self.names.borrow()) else {
                     log::warn!("attempt {tag:?}: a bad line from its worker");
                     return End::plain(Outcome::Reset);
                 };
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -21,17 +21,16 @@
 /// What the decisions need of a request. Its number is the core's to give.
 pub fn request(headers: &HeaderMap, path: &str, query: &str, names: &Names) -> Result<Request, Bad> {
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim).unwrap_or("");
-    let place = |list: &[String], name: &str| list.iter().position(|n| n == name);
     let id = text("x-request-id");
     if id.is_empty() || id.len() > 256 || headers.get_all("x-request-id").iter().count() > 1 {
         return Err("X-Request-Id is missing or malformed");
     }
-    let class = place(&names.classes, class_in(path)).ok_or("the class is unknown")?;
+    let class = names.class(class_in(path)).ok_or("the class is unknown")?;
     let stated = text("x-class");
     if !stated.is_empty() && stated != names.classes[class] {
         return Err("X-Class is unknown or differs from the path");
     }
-    let tenant = match place(&names.tenants, text("x-tenant")) {
+    let tenant = match names.tenant(text("x-tenant")) {
         Some(i) => i,
         None if names.tenants.is_empty() => 0,
         None => return Err("the tenant is unknown"),
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -33,7 +33,7 @@
 pub struct Lists {
     pub handle: Handle<Job>,
     pub pool: Arc<Pool>,
-    pub names: Arc<Names>,
+    pub names: watch::Receiver<Arc<Names>>,
     pub counters: Arc<Counters>,
     /// All workers, as told last.
     pub latest: Arc<Mutex<ListBody>>,
@@ -78,7 +78,8 @@
         self.latest.lock().unwrap_or_else(PoisonError::into_inner).merge(list);
         self.pool.listed(&list.members, list.complete);
         if list.complete || !list.members.is_empty() {
-            let entries = list.members.iter().map(|m| m.entry(&self.names)).collect();
+            let names = self.names.borrow().clone();
+            let entries = list.members.iter().map(|m| m.entry(&names)).collect();
             self.handle.list(entries, list.complete);
         }
     }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -14,10 +14,11 @@
 
 pub use server::listen;
 
-use crate::config::{Config, Names};
+use crate::config::Config;
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
 use crate::phase::Phases;
+use crate::retune::Tuning;
 use crate::upgrade::{self, Before, Held};
 use attempt::Carrier;
 use bytes::Bytes;
@@ -27,7 +28,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 use stock::Stock;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
@@ -86,6 +86,8 @@
     pub phases: Phases,
     /// Where discovery is.
     pub discovery: watch::Receiver<Option<SocketAddr>>,
+    /// The settings.
+    pub tuning: watch::Receiver<Tuning>,
     /// Set once it can serve.
     pub ready: watch::Sender<bool>,
     /// The process that this one takes over from, less its listener.
@@ -94,14 +96,18 @@
     pub place: Option<PathBuf>,
 }
 
+/// The settings with what this wire adds: a worker answers 200 once it has taken a job.
+fn platform(settings: Settings) -> Settings {
+    Settings { tells_taken: true, ..settings }
+}
+
 /// Serves the platform, with discovery where `discovery` says at each moment, until the node is told to stop, or
 /// another process has taken its place, and all that was taken is answered.
 pub async fn serve(config: Config, listener: TcpListener, links: Links) -> Result<(), String> {
-    let Links { counters, phases, discovery, ready, before, place } = links;
-    let Config { settings, names, seed, limits, .. } = config;
-    // A worker answers 200 once it has taken a job.
-    let settings = Settings { tells_taken: true, ..settings };
-    let names: Arc<Names> = Arc::new(names);
+    let Links { counters, phases, discovery, mut tuning, ready, before, place } = links;
+    let Config { seed, limits, .. } = config;
+    let Tuning { settings, names: first } = tuning.borrow_and_update().clone();
+    let (tell_names, names) = watch::channel(Arc::new(first.clone()));
     let (handle, inbox): (Handle<Job>, _) = queue();
     let (mut known, mut other, mut ids, mut remains) = (config.known, Held::default(), Vec::new(), None);
     if let Some(before) = before {
@@ -110,12 +116,11 @@
         let (held, link) = before.replace().await;
         (other, remains) = (held, Some(link));
     }
-    let (connect, idle) = (names.connect_timeout, names.conn_idle);
+    let (connect, idle) = (first.connect_timeout, first.conn_idle);
     let stock = Arc::new(Stock::new(limits, other, connect, idle, counters.clone()));
     let pool = stock.pool.clone();
     let carrier = Arc::new(Carrier { handle: handle.clone(), pool: pool.clone(), names: names.clone() });
-    let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
-    let core = Dispatcher::new(settings, seed, Platform { carrier }, counters.clone());
+    let core = Dispatcher::new(platform(settings), seed, Platform { carrier }, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
@@ -127,6 +132,19 @@
         latest: stock.latest.clone(),
     };
     tokio::spawn(lists.follow(discovery, known));
+    tokio::spawn({
+        let (handle, pool) = (handle.clone(), stock.pool.clone());
+        async move {
+            while tuning.changed().await.is_ok() {
+                let Tuning { settings, names } = tuning.borrow_and_update().clone();
+                pool.times(names.connect_timeout, names.conn_idle);
+                // The core first: no request may come with a class that it has not heard of.
+                handle.settings(platform(settings), names.continues.clone());
+                tell_names.send_replace(Arc::new(names));
+            }
+            std::future::pending::<()>().await; // holds the names for those that look at them
+        }
+    });
     if let Some(remains) = remains {
         // The other process's open ids stay closed here for as long as it lives.
         let ids: Vec<_> =
@@ -145,7 +163,7 @@
     let server = server::Server { handle, names, counters, stock, phase: phases.follow() };
     ready.send_replace(true);
     tokio::select! {
-        () = server.run(listener, Duration::from_micros(longest)) => Ok(()),
+        () = server.run(listener) => Ok(()),
         // Guards against a node that stays up and can decide nothing: it ends and is started anew.
         ended = core => Err(format!("the core has ended: {ended:?}")),
     }
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -64,11 +64,16 @@
     lines: Mutex<HashMap<WorkerId, Line>>,
     permits: Arc<Semaphore>,
     room: AtomicUsize,
-    connect_timeout: Duration,
-    keep: Duration,
+    times: Mutex<Times>,
     counters: Arc<Counters>,
 }
 
+#[derive(Clone, Copy)]
+struct Times {
+    connect: Duration,
+    keep: Duration,
+}
+
 impl Pool {
     /// A pool with room for this many connections.
     pub fn new(
@@ -81,12 +86,21 @@
             lines: Mutex::default(),
             permits: Arc::new(Semaphore::new(room)),
             room: AtomicUsize::new(room),
-            connect_timeout,
-            keep: idle_limit.mul_f64(KEEP),
+            times: Mutex::new(Times { connect: connect_timeout, keep: idle_limit.mul_f64(KEEP) }),
             counters,
         }
     }
 
+    /// Changes the times that the settings give.
+    pub fn times(&self, connect_timeout: Duration, idle_limit: Duration) {
+        *self.times.lock().unwrap_or_else(PoisonError::into_inner) =
+            Times { connect: connect_timeout, keep: idle_limit.mul_f64(KEEP) };
+    }
+
+    fn current(&self) -> Times {
+        *self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Room for so many connections more.
     pub fn grow(&self, connections: usize) {
         self.room.fetch_add(connections, Ordering::Relaxed);
@@ -127,11 +141,12 @@
 
     /// A connection to this worker, idle or new; `None` if none comes up in time.
     pub async fn connect(&self, worker: WorkerId) -> Option<Connection> {
+        let times = self.current();
         let address = {
             let mut lines = self.lines();
             let line = lines.get_mut(&worker)?;
             while let Some(connection) = line.idle.pop() {
-                let young = connection.idle_since.elapsed() < self.keep;
+                let young = connection.idle_since.elapsed() < times.keep;
                 if young && connection.sender.is_ready() {
                     if let Ok(mut written) = connection.meter.lock() {
                         *written = Written::default();
@@ -141,7 +156,7 @@
             }
             line.address
         };
-        timeout(self.connect_timeout, self.open(address)).await.ok()?
+        timeout(times.connect, self.open(address)).await.ok()?
     }
 
     async fn open(&self, address: SocketAddr) -> Option<Connection> {
@@ -201,8 +216,9 @@
         let mut every = interval(Duration::from_secs(1));
         loop {
             every.tick().await;
+            let keep = self.current().keep;
             for line in self.lines().values_mut() {
-                line.idle.retain(|c| c.idle_since.elapsed() < self.keep && !c.sender.is_closed());
+                line.idle.retain(|c| c.idle_since.elapsed() < keep && !c.sender.is_closed());
             }
         }
     }
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -59,7 +59,7 @@
 /// The server of one node.
 pub struct Server {
     pub handle: Handle<Job>,
-    pub names: Arc<Names>,
+    pub names: watch::Receiver<Arc<Names>>,
     pub counters: Arc<Counters>,
     pub stock: Arc<Stock>,
     pub phase: watch::Receiver<Phase>,
@@ -68,7 +68,7 @@
 impl Server {
     /// Accepts and serves; ends once the node is told to stop, or has handed over, and all that was taken is
     /// answered.
-    pub async fn run(self, listener: Arc<TcpListener>, longest: Duration) {
+    pub async fn run(self, listener: Arc<TcpListener>) {
         let server = Arc::new(self);
         let (mut phase, mut ours) = (server.phase.clone(), true);
         while ours || *phase.borrow() != Phase::Closing {
@@ -100,6 +100,7 @@
         }
         drop(listener);
         // By then all deadlines have passed. SIGKILL may come before: no sooner than 3.7 s after SIGTERM.
+        let longest = server.names.borrow().longest;
         let end = Instant::now() + longest.saturating_sub(Duration::from_millis(40));
         if timeout_at(end, server.stock.no_client()).await.is_err() {
             log::warn!("some connections stayed open to the end");
@@ -217,7 +218,8 @@
                 _ => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
             });
         }
-        let known = |class: &str| self.names.classes.iter().any(|c| c == class);
+        let names = self.names.borrow().clone();
+        let known = |class: &str| names.class(class).is_some();
         let stated = head.headers.get("x-class").map_or(b"".as_slice(), |v| v.as_bytes());
         let strange = std::str::from_utf8(stated).map_or(true, |c| !c.is_empty() && !known(c));
         if !known(fields::class_in(path)) && !strange {
@@ -235,7 +237,7 @@
             self.counters.turned_away.add();
             return Ok(refusal(SOON));
         };
-        let fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &self.names)
+        let fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &names)
             .map_err(|why| (StatusCode::BAD_REQUEST, why))?;
         let body = match timeout_at(visit.watcher.until(), Limited::new(body, BODY_MAX).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -1,6 +1,7 @@
 //! From SIGHUP to what a new configuration changes in a running node.
 
 use crate::config::{Sources, Told};
+use crate::retune::{lacks, Tuning};
 use std::net::SocketAddr;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -8,15 +9,18 @@
 /// Owns the configuration of a running node and what may change in it.
 pub struct Reload {
     sources: Sources,
-    started: Told,
+    running: Told,
     discovery: watch::Sender<Option<SocketAddr>>,
+    tuning: watch::Sender<Tuning>,
 }
 
 impl Reload {
     /// Starts from what the fronts were told.
     pub fn new(sources: Sources, started: Told) -> Reload {
         let at = started.config.as_ref().map(|c| c.discovery);
-        Reload { sources, started, discovery: watch::Sender::new(at) }
+        let tuning = started.config.as_ref().map(|c| c.tuning.clone()).unwrap_or_default();
+        let (discovery, tuning) = (watch::Sender::new(at), watch::Sender::new(tuning));
+        Reload { sources, running: started, discovery, tuning }
     }
 
     /// Where discovery listens, as of now; `None` where no front asks it.
@@ -24,33 +28,55 @@
         self.discovery.subscribe()
     }
 
+    /// The settings, as of now.
+    pub fn tuning(&self) -> watch::Receiver<Tuning> {
+        self.tuning.subscribe()
+    }
+
     /// Reads everything again at each SIGHUP, as long as the process lives. Guards against a node that ends on
     /// SIGHUP: from here on the signal has a handler, whichever fronts run and whatever phase it is.
-    pub fn on_signal(self) -> std::io::Result<()> {
+    pub fn on_signal(mut self) -> std::io::Result<()> {
         let mut asked = signal(SignalKind::hangup())?;
         tokio::spawn(async move {
             while asked.recv().await.is_some() {
-                self.again();
+                // All or nothing: of a file that is not whole, nothing is taken.
+                match self.again() {
+                    Ok(changed) => log::info!("reload: {changed}"),
+                    Err(e) => log::error!("reload: the old configuration stays: {}", e.replace('\n', " ")),
+                }
             }
         });
         Ok(())
     }
 
-    fn again(&self) {
-        let newer = match self.sources.read_again() {
-            Ok(newer) => newer,
-            // All or nothing: of a file that can't be read whole, nothing is taken.
-            Err(e) => return log::error!("reload: the old configuration stays: {}", e.replace('\n', " ")),
-        };
-        let lasting = self.started.lasting(&newer);
-        if !lasting.is_empty() {
-            log::warn!("reload: changed, but in force only after a restart: {}", lasting.join(", "));
+    /// Checks all of it before anything changes; says what did.
+    fn again(&mut self) -> Result<String, String> {
+        let newer = self.sources.read_again()?;
+        let mut changed = Vec::new();
+        if let (Some(old), Some(new)) = (&mut self.running.config, &newer.config) {
+            if let Some(key) = lacks(&old.text, &new.text, "configuration") {
+                return Err(format!("{key} is missing"));
+            }
+            let tuning = self.tuning.borrow().overlaid(&new.tuning);
+            tuning.settings.validate().map_err(|e| format!("settings: {e}"))?;
+            if self.tuning.send_if_modified(|old| std::mem::replace(old, tuning.clone()) != tuning) {
+                let offered = (0..tuning.names.classes.len()).filter(|n| !tuning.names.retired.contains(n));
+                let offered: Vec<&str> = offered.map(|n| tuning.names.classes[n].as_str()).collect();
+                let most = tuning.settings.max_attempts;
+                changed
+                    .push(format!("new settings: classes {}; {most} attempts at most", offered.join(", ")));
+            }
+            if old.discovery != new.discovery {
+                old.discovery = new.discovery;
+                self.discovery.send_replace(Some(new.discovery));
+                changed.push(format!("discovery is now at {}", new.discovery));
+            }
+            old.text = new.text.clone();
         }
-        let at = newer.config.map(|c| c.discovery);
-        let moved = self.discovery.send_if_modified(|old| std::mem::replace(old, at) != at);
-        match at.filter(|_| moved) {
-            Some(at) => log::info!("reload: discovery is now at {at}"),
-            None => log::info!("reload: discovery as before"),
+        let lasting = self.running.lasting(&newer);
+        if !lasting.is_empty() {
+            changed.push(format!("changed, but in force only after a restart: {}", lasting.join(", ")));
         }
+        Ok(if changed.is_empty() { "all as before".to_string() } else { changed.join("; ") })
     }
 }
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -5,6 +5,8 @@
 
 use common::{checker, holds, request, stop, stopping, Client, Platform, Seen, Worker};
 use dewlever::api::Outcome;
+use molevale::config::read_settings;
+use molevale::retune::Tuning;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
 use std::time::Duration;
@@ -357,6 +359,44 @@
     assert_eq!(node.served.await.unwrap(), Ok(()));
 }
 
+/// Guards clients while settings change: a class that is offered no more is not found, a new one is served under
+/// its own rules, and a job that is open goes on under the old ones.
+#[tokio::test(start_paused = true)]
+async fn new_settings_hold_for_new_jobs_and_the_old_ones_for_those_that_are_open() {
+    let (worker, node, mut client) = one().await;
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    let mut open = worker.take().await;
+    let mut newer = common::settings(true, 60_000_000);
+    newer["Profiles"][0]["Name"] = "audit".into();
+    newer["Profiles"][0]["Semantics"] = "unsafe".into();
+    newer["Limits"]["MaxAttempts"] = 1.into();
+    let (settings, names) = read_settings(&newer).unwrap();
+    node.tuning.send_modify(|running| *running = running.overlaid(&Tuning { settings, names }));
+    let mut fresh = Client::connect(&node).await;
+    assert_eq!(fresh.ask(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await.status, 400);
+    let mut fresh = Client::connect(&node).await;
+    fresh.tell(&request("audit", "9b1f03aa5c7e2d43", 60.0, "")).await;
+    let mut audit = worker.take().await;
+    for seen in [&mut open, &mut audit] {
+        seen.begin().await;
+        seen.say(json!({"state": "failed"})).await; // no end: its connection is not kept
+    }
+    assert_eq!(fresh.answer().await.unwrap().status, 502, "unsafe: it may have run");
+    let taken = worker.take();
+    tokio::pin!(taken);
+    let mut again = loop {
+        tokio::select! {
+            biased;
+            again = taken.as_mut() => break again,
+            () = tokio::task::yield_now() => advance(Duration::from_millis(50)).await, // the worker is in doubt
+        }
+        assert_eq!(node.counters.refused.get(), 0, "it has attempts left");
+    };
+    assert_eq!(again.field("x-request-id"), "9b1f03aa5c7e2d41");
+    again.done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+}
+
 #[tokio::test(start_paused = true)]
 async fn beyond_the_descriptor_budget_a_client_is_refused_at_once() {
     let worker = Worker::start().await;
--- a/src/api.rs
+++ b/src/api.rs
@@ -100,6 +100,8 @@
 pub struct Settings {
     /// The classes of requests.
     pub classes: Vec<ClassSettings>,
+    /// Classes, by number, that are offered no more: they are kept for the requests that are open.
+    pub retired: Vec<usize>,
     /// The tenants; may be empty.
     pub tenants: Vec<TenantSettings>,
     /// How many dispatchers there are, this one included.
@@ -177,7 +179,8 @@
     /// Checks that the figures make sense together.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let part = |x: f64| x.is_finite() && x >= 0.0;
-        need(!self.classes.is_empty(), "there must be at least one class")?;
+        let offered = (0..self.classes.len()).any(|i| !self.retired.contains(&i));
+        need(offered, "there must be at least one class")?;
         need(self.max_attempts > 0, "a request needs at least one attempt")?;
         for (i, c) in self.classes.iter().enumerate() {
             need(c.deadline_us > 0, &format!("class {i}: the deadline must be above zero"))?;
@@ -360,6 +363,14 @@
         /// The request.
         id: RequestId,
     },
+    /// New settings. Classes and tenants keep their numbers and only more come behind them; a class that goes on
+    /// under other rules is a new one. Requests that are open keep the most attempts that they came in with.
+    Settings {
+        /// All of them.
+        settings: Box<Settings>,
+        /// For each class, which one's run times its own are about like, if any.
+        continues: Vec<Option<usize>>,
+    },
     /// The whole worker list; who is absent is gone, if the rules say so.
     FullList(Vec<WorkerEntry>),
     /// Changed lines of the worker list.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,7 +72,7 @@
     admitted: Time, deadline: Time, due: Time, // due: the last moment to send it and be in time
     ahead: Time,                               // its class's head start while it waits
     late: bool, in_share: bool, streaming: bool, counted: bool, // counted: it has entered w
-    sent: u32, attempt: Attempt,               // attempts so far, and the last one
+    sent: u32, most: u32, attempt: Attempt,    // attempts so far, at most, and the last one
     may_run: Option<(usize, Time)>,            // who may have run it first; the window's end
 }
 
@@ -167,20 +167,36 @@
     /// A dispatcher that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Policy, SettingsError> {
         settings.validate()?;
-        let usual = settings.classes.iter().map(|c| c.aim_us.max(10_000) as f64);
-        let class = |usual| Class { usual, long: LONG * usual, u: 1.0, ..Class::default() };
-        let tenants =
-            (0..settings.tenants.len().max(1)).map(|_| Tenant { tokens: 1.0, ..Tenant::default() }).collect();
         let mut policy = Policy {
-            rng: Rng(seed), now, tenants, classes: usual.map(class).collect(), u: f64::INFINITY, tokens: 1.0,
-            mean_cap: CAP_START, filled_at: now, born: now, set: settings, ..Policy::default()
+            rng: Rng(seed), now, u: f64::INFINITY, tokens: 1.0,
+            mean_cap: CAP_START, filled_at: now, born: now, ..Policy::default()
         };
-        policy.set_allotments();
+        policy.configure(settings, &[]);
         let phase = policy.rng.below(SECOND);
         policy.plan(SECOND / 2 + phase, Due::Step);
         Ok(policy)
     }
 
+    /// What was learned stays, under the same numbers; guards that by passing over settings that lack some.
+    fn configure(&mut self, settings: Settings, continues: &[Option<usize>]) {
+        let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
+        if classes < self.classes.len() || tenants < self.set.tenants.len() { return; }
+        for (i, c) in settings.classes.iter().enumerate().skip(self.classes.len()) {
+            let like = continues.get(i).copied().flatten().and_then(|j| self.classes.get(j));
+            let first = c.aim_us.max(10_000) as f64;
+            let (usual, long) = like.map_or((first, LONG * first), |c| (c.usual, c.long));
+            self.classes.push(Class { usual, long, u: 1.0, ..Class::default() });
+        }
+        self.tenants.resize_with(tenants.max(1), || Tenant { tokens: 1.0, ..Tenant::default() });
+        self.set = settings;
+        self.set_allotments();
+    }
+
+    /// The classes that are offered, by number.
+    fn offered(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.classes.len()).filter(|i| !self.set.retired.contains(i))
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: &Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -193,6 +209,7 @@
             Event::Progress { id, attempt, .. } => self.news(*id, *attempt, false, out),
             Event::Ended(ending) => self.ended(ending, out),
             Event::ClientLeft { id } => self.client_left(*id, out),
+            Event::Settings { settings, continues } => self.configure((**settings).clone(), continues),
             Event::FullList(entries) => self.list(entries, true),
             Event::ListChanges(entries) => self.list(entries, false),
             Event::ListFailed => self.list_failed(out),
@@ -232,7 +249,7 @@
         self.taken.add(self.now);
         let job = Job {
             class, tenant, key: r.key, need, admitted: self.now, deadline, due: due.min(deadline), late,
-            ahead: self.ahead(class),
+            ahead: self.ahead(class), most: self.set.max_attempts,
             ..Job::default()
         };
         self.jobs.insert(r.id, job);
@@ -249,7 +266,7 @@
 
     fn ahead(&self, class: usize) -> Time {
         let dense = |i: usize| self.set.classes[i].worth.max(1e-3) / self.classes[i].usual.max(1.0);
-        let least = (0..self.classes.len()).map(dense).fold(f64::INFINITY, f64::min);
+        let least = self.offered().map(dense).fold(f64::INFINITY, f64::min);
         ((dense(class) / least).log2() * AHEAD as f64) as Time
     }
 
@@ -421,7 +438,7 @@
         if waits || self.now < w.pause_until || cold { return None; }
         if w.silent || w.doubt > 0 {
             // Recovery by a trickle: one job at a time, and one that may be repeated if it is lost.
-            let none_safe = self.set.classes.iter().all(|c| c.semantics != Semantics::Safe);
+            let none_safe = self.offered().all(|i| self.set.classes[i].semantics != Semantics::Safe);
             let repeatable = self.set.classes[job.class].semantics == Semantics::Safe || none_safe;
             return Some(0.0).filter(|_| repeatable && w.held < 0.5 && self.now >= w.trial_at);
         }
@@ -529,7 +546,7 @@
         let job = self.jobs[&id];
         let lost = self.workers[a.worker].silent || job.attempt.lost || self.estimates();
         let again = self.set.cancelling && self.set.classes[class].semantics != Semantics::Unsafe;
-        let again = again && lost && job.sent < self.set.max_attempts && self.may_try_again(1.0);
+        let again = again && lost && job.sent < job.most && self.may_try_again(1.0);
         let until = a.sent + self.set.classes[class].repeat_window_us;
         let there = Job { may_run: job.may_run.or(Some((a.worker, until))), ..job };
         if again && (wordless || self.pick(there).is_some()) {
@@ -791,7 +808,7 @@
             job.may_run = Some((job.attempt.worker, job.attempt.sent + window));
         }
         let job = self.jobs[&id];
-        let left = job.sent < self.set.max_attempts && outcome != Outcome::Moot && self.now < job.deadline;
+        let left = job.sent < job.most && outcome != Outcome::Moot && self.now < job.deadline;
         let once = job.may_run.is_some() && self.set.classes[job.class].semantics == Semantics::Unsafe;
         // Who was turned away unseen can be refused to come back as a new request: lost work goes first.
         let part = if job.may_run.is_none() { 0.5 } else { 1.0 };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -169,6 +169,7 @@
         p.text("Stats.Fields").split(',').filter(|s| !s.is_empty()).map(field).collect::<Vec<Field>>();
     let settings = Settings {
         classes,
+        retired: Vec::new(),
         tenants,
         siblings: p.span("Siblings", 1)?.max(1) as u32,
         ordinal: p.span("Ordinal", 0)? as u32,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -731,3 +731,48 @@
         .collect();
     assert!(!order.is_empty() && order[0] != 2, "{order:?}");
 }
+
+/// Guards requests that are open when settings change: they keep their attempts and their class's rules, while
+/// those that come after have the new ones.
+#[test]
+fn open_jobs_keep_their_attempts_and_rules_when_settings_change() {
+    let old = settings(vec![class(Semantics::Safe)]);
+    let mut d = Desk::new(old.clone(), two());
+    assert!(sent(&d.accept(1, 0), 1).is_some());
+    let new = Settings {
+        classes: vec![class(Semantics::Safe), class(Semantics::Unsafe)],
+        retired: vec![0],
+        max_attempts: 1,
+        ..old.clone()
+    };
+    d.tell(Event::Settings { settings: Box::new(new), continues: vec![None, Some(0)] });
+    assert!(sent(&d.accept(2, 1), 2).is_some());
+    assert_eq!(d.ended(2, 0, Outcome::Error), [Action::Fail { id: 2 }], "unsafe");
+    let mut actions = d.ended(1, 0, Outcome::Full);
+    actions.extend(d.pass(S));
+    assert!(sent(&actions, 1).is_some(), "it has attempts left: {actions:?}");
+    let mut actions = d.accept(3, 1);
+    actions.extend(d.pass(S));
+    assert!(sent(&actions, 3).is_some());
+    let turned_away = d.ended(3, 0, Outcome::Full);
+    assert!(refused(&turned_away, 3), "one attempt: {turned_away:?}");
+    // Settings that take numbers away would change what open jobs mean: they are passed over.
+    d.tell(Event::Settings { settings: Box::new(old), continues: vec![None] });
+    d.tell(Event::ListChanges(vec![worker(3, 0, 0)]));
+    assert!(sent(&d.accept(4, 1), 4).is_some());
+    assert_eq!(d.ended(4, 0, Outcome::Error), [Action::Fail { id: 4 }], "unsafe still");
+}
+
+/// Guards what was learned: new settings leave the workers' state as it was, and a class that goes on under other
+/// rules its run times.
+#[test]
+fn what_was_learned_stays_when_settings_change() {
+    let keyed = settings(vec![class(Semantics::Keyed(Group::All))]);
+    let mut d = Desk::new(keyed.clone(), vec![worker(1, 0, 0)]);
+    assert!(sent(&d.accept(1, 0), 1).is_some());
+    d.ended(1, 0, Outcome::ConnectFailed); // the worker is in doubt now
+    let classes = vec![class(Semantics::Keyed(Group::All)), class(Semantics::Keyed(Group::Zone))];
+    let new = Settings { classes, retired: vec![0], ..keyed };
+    let told = d.tell(Event::Settings { settings: Box::new(new), continues: vec![None, Some(0)] });
+    assert!(told.is_empty() && sent(&d.accept(2, 1), 2).is_none(), "it is in doubt still: {told:?}");
+}
