In a crowd let those that ask for nothing make way before those that write

Lines at fault: room.rs, Turn: any connection without an answer went first, the oldest before all, which is the true request that takes 2 s to write. Now: who said nothing for 0.3 s goes first, then who is between requests, then of those that write the one that paused for longest, last who has only just come (room.rs, turn); the gate tells when the last byte came. Also: a request that comes whole more than 0.7 s after SIGTERM may not be without its answer when SIGKILL comes, but was given its whole deadline (server.rs, read): it now has until 0.1 s before (phase.rs, last_moment). Ruled out: the 2.5 s that a message may take, for none ran out in the log; memory (2 of 24 MB). Both tests fail without their part.

--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -1,14 +1,21 @@
 //! Where a node is between its start and its end: one owner of that, and what may follow on what.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// New connections go on coming for a while after SIGTERM; what comes in 0.7 s must be answered.
 const ACCEPTING: Duration = Duration::from_millis(720);
 
+/// Up to which a request after SIGTERM may be cut by SIGKILL; a later one has to have its answer by then.
+const EXCUSED: Duration = Duration::from_millis(700);
+/// SIGKILL comes no sooner than the longest deadline, but counted as this where it is longer, and 0.7 s more.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// Before SIGKILL, for an answer to reach its client.
+const MARGIN: Duration = Duration::from_millis(100);
+
 /// Where a node is between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -43,11 +50,11 @@
 
 /// The phase of this process. All that changes it goes through here; whoever follows it gets a receiver.
 #[derive(Clone)]
-pub struct Phases(Arc<watch::Sender<Phase>>);
+pub struct Phases(Arc<watch::Sender<Phase>>, Arc<OnceLock<Instant>>);
 
 impl Default for Phases {
     fn default() -> Self {
-        Phases(Arc::new(watch::Sender::new(Phase::Serving)))
+        Phases(Arc::new(watch::Sender::new(Phase::Serving)), Arc::default())
     }
 }
 
@@ -84,6 +91,7 @@
     /// Goes through the last phases, whatever the phase is; a second call changes nothing. Where another process
     /// serves, nothing more is taken.
     pub async fn stop(&self) {
+        self.1.get_or_init(Instant::now);
         let now = *self.0.borrow();
         match now {
             Phase::Stopping | Phase::Closing => return,
@@ -111,6 +119,12 @@
         Ok(())
     }
 
+    /// By when a request that comes in now has to have its answer, where SIGKILL may come before its own time ends.
+    pub fn last_moment(&self, longest_deadline: Duration) -> Option<Instant> {
+        let told = self.1.get().filter(|told| told.elapsed() > EXCUSED)?;
+        Some(*told + longest_deadline.min(DEADLINE_MOST) + EXCUSED - MARGIN)
+    }
+
     /// Changes the phase, where something follows on it, and says what it is then.
     fn turn(&self, next: impl FnOnce(Phase) -> Option<Phase>) -> Phase {
         self.0.send_if_modified(|phase| match next(*phase) {
--- a/node/src/platform/gate.rs
+++ b/node/src/platform/gate.rs
@@ -126,10 +126,23 @@
 
 struct State {
     messages: Messages,
+    answered: bool,         // a message has had its answer
+    heard: Instant,         // the last byte that came, or the last answer, or the start
     until: Option<Instant>, // by when the message that is coming in has to be whole
     serving: bool,          // the last one is, and waits for its answer
 }
 
+/// How a connection is quiet that has no request at work.
+#[derive(Clone, Copy, Debug)]
+pub struct Quiet {
+    /// Part of a message has come.
+    pub begun: bool,
+    /// An earlier one had its answer.
+    pub answered: bool,
+    /// When the last byte came, or the last answer went out, or when it connected.
+    pub since: Instant,
+}
+
 /// What a connection's service shares with its socket.
 #[derive(Clone)]
 pub struct Watcher(Arc<Mutex<State>>);
@@ -149,6 +162,13 @@
         self.state().until.unwrap_or_else(|| Instant::now() + MESSAGE_WAIT)
     }
 
+    /// How the connection is quiet.
+    pub fn quiet(&self) -> Quiet {
+        let state = self.state();
+        let begun = !state.messages.between();
+        Quiet { begun, answered: state.answered, since: state.heard }
+    }
+
     /// The message is whole; its answer may take its time.
     pub fn whole(&self) {
         let mut state = self.state();
@@ -159,6 +179,7 @@
     pub fn answered(&self) {
         let mut state = self.state();
         let begun = !state.messages.between();
+        (state.answered, state.heard) = (true, Instant::now());
         (state.until, state.serving) = (begun.then(|| Instant::now() + MESSAGE_WAIT), false);
     }
 }
@@ -174,7 +195,13 @@
     /// Starts with the time of the first message, which runs from now.
     pub fn new(socket: S) -> Gate<S> {
         let until = Instant::now() + MESSAGE_WAIT;
-        let state = State { messages: Messages::default(), until: Some(until), serving: false };
+        let state = State {
+            messages: Messages::default(),
+            answered: false,
+            heard: Instant::now(),
+            until: Some(until),
+            serving: false,
+        };
         Gate { socket, watcher: Watcher(Arc::new(Mutex::new(state))), timer: Box::pin(sleep_until(until)) }
     }
 
@@ -192,6 +219,7 @@
             let mut state = self.watcher.state();
             if ready {
                 state.messages.note(&buf.filled()[before..]);
+                state.heard = Instant::now();
                 if state.until.is_none() && !state.serving && buf.filled().len() > before {
                     state.until = Some(Instant::now() + MESSAGE_WAIT);
                 }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -160,7 +160,7 @@
         let (listener, phases, stock) = (Arc::downgrade(&listener), phases.clone(), stock.clone());
         tokio::spawn(async move { upgrade::offer(&place, listener, &phases, &*stock).await });
     }
-    let server = server::Server { handle, names, counters, stock, phase: phases.follow() };
+    let server = server::Server { handle, names, counters, stock, phase: phases.follow(), phases };
     ready.send_replace(true);
     tokio::select! {
         () = server.run(listener) => Ok(()),
--- a/node/src/platform/room.rs
+++ b/node/src/platform/room.rs
@@ -1,59 +1,85 @@
 //! The descriptors for clients: who has one, and who gives one up where there is none left.
 
+use super::gate::{Quiet, Watcher};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// For which a newcomer waits until another connection has given its place up.
 const MAKE_WAY: Duration = Duration::from_millis(100);
 
-/// Who goes first: connections that never had an answer, and among those that did the one quiet for longest.
-type Turn = (bool, u64);
+/// For which a new connection may say nothing before it is the first to make way. A client that has a request
+/// writes its first bytes at once.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// Who goes first. Those that asked for nothing; then those between two requests, for closing these harms nobody;
+/// then those that write, the one that paused for longest; last those that have only just come.
+fn turn(quiet: &Quiet, now: Instant) -> (u8, Instant) {
+    let rank = match (quiet.begun, quiet.answered) {
+        (true, _) => 2,
+        (false, true) => 1,
+        (false, false) if now.saturating_duration_since(quiet.since) >= SILENCE => 0,
+        (false, false) => 3,
+    };
+    (rank, quiet.since)
+}
 
 #[derive(Default)]
-struct Quiet {
-    turns: u64,
-    seats: BTreeMap<Turn, Arc<Notify>>,
+struct Seats {
+    next: u64,
+    quiet: BTreeMap<u64, (Watcher, Arc<Notify>)>,
 }
 
 /// Room for so many connections.
 pub struct Room {
     size: AtomicU32,
     permits: Arc<Semaphore>,
-    quiet: Mutex<Quiet>,
+    seats: Mutex<Seats>,
 }
 
 impl Room {
     /// With this many places.
     pub fn new(size: usize) -> Arc<Room> {
         let permits = Arc::new(Semaphore::new(size));
-        Arc::new(Room { size: AtomicU32::new(size as u32), permits, quiet: Mutex::default() })
+        Arc::new(Room { size: AtomicU32::new(size as u32), permits, seats: Mutex::default() })
     }
 
-    fn quiet(&self) -> MutexGuard<'_, Quiet> {
-        self.quiet.lock().unwrap_or_else(PoisonError::into_inner)
+    fn seats(&self) -> MutexGuard<'_, Seats> {
+        self.seats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A place for a new connection. Where there is none, the quiet one whose turn it is makes way; `None`
     /// where all are at work.
-    pub async fn seat(self: &Arc<Room>) -> Option<Seat> {
+    pub async fn seat(self: &Arc<Room>, watcher: &Watcher) -> Option<Seat> {
         let permit = match self.permits.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
-                let (_, first) = self.quiet().seats.pop_first()?;
-                first.notify_one();
+                self.first()?.notify_one();
                 timeout(MAKE_WAY, self.permits.clone().acquire_owned()).await.ok()?.ok()?
             }
         };
-        let seat =
-            Seat { room: self.clone(), turn: Mutex::default(), asked: Arc::default(), _permit: permit };
-        seat.rest(false);
+        let number = {
+            let mut seats = self.seats();
+            seats.next += 1;
+            seats.next
+        };
+        let (asked, watcher) = (Arc::default(), watcher.clone());
+        let seat = Seat { room: self.clone(), number, watcher, asked, _permit: permit };
+        seat.rest();
         Some(seat)
     }
 
+    /// Takes out who is to make way.
+    fn first(&self) -> Option<Arc<Notify>> {
+        let (mut seats, now) = (self.seats(), Instant::now());
+        let turns = seats.quiet.iter().map(|(number, (watcher, _))| (turn(&watcher.quiet(), now), *number));
+        let (_, number) = turns.min()?;
+        seats.quiet.remove(&number).map(|(_, asked)| asked)
+    }
+
     /// So many places more.
     pub fn grow(&self, places: usize) {
         self.size.fetch_add(places as u32, Ordering::Relaxed);
@@ -83,34 +109,27 @@
 /// A connection's place.
 pub struct Seat {
     room: Arc<Room>,
-    turn: Mutex<Turn>,
+    number: u64,
+    watcher: Watcher,
     asked: Arc<Notify>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Seat {
-    /// The connection has nothing at work; whether it had an answer already.
-    pub fn rest(&self, answered: bool) {
-        let (mut quiet, mut turn) = (self.room.quiet(), self.turn());
-        quiet.seats.remove(&*turn);
-        quiet.turns += 1;
-        *turn = (answered, quiet.turns);
-        quiet.seats.insert(*turn, self.asked.clone());
+    /// The connection has nothing at work.
+    pub fn rest(&self) {
+        self.room.seats().quiet.insert(self.number, (self.watcher.clone(), self.asked.clone()));
     }
 
     /// A whole request is at work: the connection stays.
     pub fn work(&self) {
-        self.room.quiet().seats.remove(&*self.turn());
+        self.room.seats().quiet.remove(&self.number);
     }
 
     /// Returns once the connection is to make way, and says whether it had an answer.
     pub async fn make_way(&self) -> bool {
         self.asked.notified().await;
-        self.turn().0
-    }
-
-    fn turn(&self) -> MutexGuard<'_, Turn> {
-        self.turn.lock().unwrap_or_else(PoisonError::into_inner)
+        self.watcher.quiet().answered
     }
 }
 
@@ -119,3 +138,30 @@
         self.work();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards true requests in a crowd: who says nothing goes before who writes, and of those that write the one
+    /// that has paused for longest.
+    #[tokio::test(start_paused = true)]
+    async fn those_that_ask_for_nothing_make_way_before_those_that_write() {
+        let now = Instant::now() + Duration::from_secs(9);
+        let ago = |ms| now - Duration::from_millis(ms);
+        let quiet = |begun, answered, ms| Quiet { begun, answered, since: ago(ms) };
+        let order = [
+            quiet(false, false, 2000),
+            quiet(false, false, 300),
+            quiet(false, true, 4000),
+            quiet(false, true, 0),
+            quiet(true, false, 1000),
+            quiet(true, true, 500),
+            quiet(true, false, 10),
+            quiet(false, false, 299),
+            quiet(false, false, 1),
+        ];
+        let turns: Vec<_> = order.iter().map(|q| turn(q, now)).collect();
+        assert!(turns.is_sorted(), "{turns:?}");
+    }
+}
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -7,7 +7,7 @@
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
-use crate::phase::Phase;
+use crate::phase::{Phase, Phases};
 use bytes::Bytes;
 use dewlever::api::RequestId;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -62,6 +62,7 @@
     pub names: watch::Receiver<Arc<Names>>,
     pub counters: Arc<Counters>,
     pub stock: Arc<Stock>,
+    pub phases: Phases,
     pub phase: watch::Receiver<Phase>,
 }
 
@@ -109,13 +110,14 @@
 
     async fn take(self: &Arc<Self>, socket: TcpStream) {
         let server = self.clone();
-        if let Some(seat) = self.stock.room.seat().await {
+        let gate = Gate::new(socket);
+        if let Some(seat) = self.stock.room.seat(&gate.watcher()).await {
             self.counters.accepted.add();
-            tokio::spawn(async move { server.serve(socket, seat).await });
+            tokio::spawn(async move { server.serve(gate, seat).await });
         } else if let Ok(permit) = self.stock.beyond.clone().try_acquire_owned() {
             tokio::spawn(async move {
                 // Past the wait the client has had its time to send and read.
-                let _ = timeout(TURN_AWAY_WAIT, server.turn_away(socket)).await;
+                let _ = timeout(TURN_AWAY_WAIT, server.turn_away(gate)).await;
                 drop(permit);
             });
         } else {
@@ -124,8 +126,7 @@
         }
     }
 
-    async fn serve(&self, socket: TcpStream, seat: Seat) {
-        let gate = Gate::new(socket);
+    async fn serve(&self, gate: Gate<TcpStream>, seat: Seat) {
         let visit = Visit { watcher: gate.watcher(), seat, requests: AtomicU64::new(0) };
         let service = service_fn(|request| {
             let visit = &visit;
@@ -160,7 +161,7 @@
         }
     }
 
-    async fn turn_away(&self, socket: TcpStream) {
+    async fn turn_away(&self, socket: Gate<TcpStream>) {
         let service = service_fn(|request| async move { Ok::<_, Infallible>(self.no_room(request).await) });
         log_end(builder().keep_alive(false).serve_connection(TokioIo::new(socket), service).await);
     }
@@ -197,8 +198,8 @@
         if bad || framing != Framing::Length || self.phase.borrow().sends_away() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        visit.seat.rest(true);
         visit.watcher.answered();
+        visit.seat.rest();
         reply
     }
 
@@ -237,7 +238,7 @@
             self.counters.turned_away.add();
             return Ok(refusal(SOON));
         };
-        let fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &names)
+        let mut fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &names)
             .map_err(|why| (StatusCode::BAD_REQUEST, why))?;
         let body = match timeout_at(visit.watcher.until(), Limited::new(body, BODY_MAX).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -259,6 +260,15 @@
             .ids
             .open(id)
             .ok_or((StatusCode::CONFLICT, "a request with this X-Request-Id is open"))?;
+        // Guards the answer to a request that was written while the node stops: SIGKILL would cut it off.
+        if let Some(last) = self.phases.last_moment(names.longest) {
+            let left = last.saturating_duration_since(Instant::now()).as_micros() as u64;
+            if left == 0 {
+                self.counters.turned_away.add();
+                return Ok(refusal(SOON));
+            }
+            fields.left_us = fields.left_us.min(left);
+        }
         let (reply, answer) = oneshot::channel();
         let job = Job { id, key: key.cloned(), target, body, reply };
         let mut client = Client { handle: &self.handle, id: self.handle.accept(fields, job), waits: true };
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -318,6 +318,29 @@
     assert_eq!(node.served.await.unwrap(), Ok(()));
 }
 
+/// Guards requests that are written slowly while the node stops: nothing that came later than 0.7 s after SIGTERM
+/// may be without its answer when SIGKILL comes, 3.7 s after it.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_comes_while_the_node_stops_has_its_answer_before_the_end() {
+    let (worker, node, _) = one().await;
+    let mut slow = Client::connect(&node).await;
+    let text = request("check", "9b1f03aa5c7e2d41", 60.0, "");
+    let (begin, end) = text.split_at(text.len() - 2);
+    slow.tell(begin).await;
+    stop(&node.phases).await;
+    advance(Duration::from_millis(1300)).await; // 2.02 s after SIGTERM
+    slow.tell(end).await;
+    let mut seen = worker.take().await;
+    assert!(seen.field("x-deadline").parse::<f64>().unwrap() < 1.6);
+    seen.begin().await;
+    while node.counters.word.get() < 1 {
+        tokio::task::yield_now().await;
+    }
+    advance(Duration::from_millis(1560)).await;
+    assert_eq!(slow.answer().await.expect("an answer").status, 503);
+    assert_eq!(node.served.await.unwrap(), Ok(()));
+}
+
 /// Guards clients of a node that drains: idle connections close, what runs and what still comes is served and
 /// its connection closed then; and the node comes back whole.
 #[tokio::test(start_paused = true)]
@@ -461,7 +484,7 @@
 }
 
 /// Guards usual clients against connections that hold every descriptor and say nothing, or nothing more: a
-/// newcomer takes the place of one that never had an answer, then of the one quiet for longest.
+/// newcomer takes the place of one that asked for nothing, then of the one between requests for longest.
 #[tokio::test(start_paused = true)]
 async fn a_quiet_connection_makes_way_for_a_new_one_and_one_at_work_does_not() {
     let worker = Worker::start().await;
@@ -469,6 +492,7 @@
     let mut busy = Client::connect(&node).await;
     busy.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
     let mut seen = worker.take().await;
+    seen.begin().await;
     let mut served = Vec::new();
     for _ in 0..2 {
         let mut client = Client::connect(&node).await;
@@ -476,7 +500,10 @@
         served.push(client);
     }
     let mut silent = Client::connect(&node).await;
-    silent.tell("POST /check HTTP/1.1\r\nX-").await;
+    while node.counters.accepted.get() < 4 || node.counters.word.get() < 1 {
+        tokio::task::yield_now().await;
+    }
+    advance(Duration::from_millis(300)).await;
     for gone in [&mut silent, &mut served[0]] {
         let mut new = Client::connect(&node).await;
         assert_eq!(new.ask(UP).await.status, 200);
@@ -484,7 +511,7 @@
         *gone = new;
     }
     assert_eq!(served[1].ask(UP).await.status, 200);
-    seen.done("r").await;
+    seen.say(json!({"state": "done", "result": "r"})).await;
     assert_eq!(busy.answer().await.unwrap().body, "r");
 }
 
