--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -45,6 +45,10 @@
     accepted,
     /// Requests handed to the module.
     taken,
+    /// Requests that went to the next process while they ran.
+    moved,
+    /// Requests that came from the process before while they ran.
+    adopted,
     /// Requests answered without it: malformed, not found, too large, over the descriptor budget.
     turned_away,
     /// Final answers: served.
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 use tokio::time::{sleep_until, Instant};
 
 /// The number of a named thing, such as a worker: FNV-1a of its name, the same at every node.
@@ -41,6 +42,19 @@
     Failed,
 }
 
+/// When an attempt went out, and to whom.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    /// The worker.
+    pub worker: WorkerId,
+    /// When it was sent.
+    pub at: Instant,
+    /// When its worker said that it started.
+    pub started: Option<Instant>,
+    /// When its client stops waiting.
+    pub until: Instant,
+}
+
 /// What carries the core's decisions out on a wire. It decides nothing.
 pub trait Front: Send + 'static {
     /// What came in and the way back to who asked.
@@ -56,6 +70,9 @@
     fn answer(&mut self, job: Self::Job, answer: Answer);
     /// The request is taken, and was not answered at once.
     fn taken(&mut self, _job: &Self::Job) {}
+    /// Takes a running job up for another process, if all of it can move: here nothing more happens to it until
+    /// [`Handle::moved`] says that it is gone, or it is let go.
+    fn lift(&mut self, _tag: Tag, _sent: &Sent, _job: &Self::Job, _hold: &Self::Attempt) {}
     /// Closes idle connections to a worker.
     fn release(&mut self, _worker: WorkerId) {}
     /// Asks for the worker list again.
@@ -74,6 +91,9 @@
     List(Vec<WorkerEntry>, bool),
     ListFailed,
     Settings(Box<Settings>, Vec<Option<usize>>),
+    Adopt(Request, J, Sent),
+    Lift(oneshot::Sender<()>),
+    Moved(Tag),
 }
 
 /// The way into a core's queue. The queue is not bounded in itself: what can wait in it is bounded by the
@@ -97,6 +117,25 @@
         id
     }
 
+    /// As [`Handle::accept`], a request that another process of this node has sent once: its attempt goes on here.
+    pub fn adopt(&self, request: Request, job: J, sent: Sent) -> RequestId {
+        let id = self.numbers.fetch_add(1, Ordering::Relaxed);
+        self.put(Input::Adopt(Request { id, ..request }, job, sent));
+        id
+    }
+
+    /// Has the front take up all running jobs that can move to another process; returns once it has.
+    pub async fn lift(&self) {
+        let (tell, done) = oneshot::channel();
+        self.put(Input::Lift(tell));
+        let _ = done.await; // fails where the core has ended: it has no jobs
+    }
+
+    /// Another process goes on with this attempt and its request.
+    pub fn moved(&self, tag: Tag) {
+        self.put(Input::Moved(tag));
+    }
+
     /// The client of this request has gone; after its answer this changes nothing.
     pub fn left(&self, id: RequestId) {
         self.put(Input::Left(id));
@@ -181,7 +220,8 @@
     job: Option<F::Job>, // until its answer
     until: Instant,
     sent: u32,
-    most: u32,                       // attempts, by the settings that it came in under
+    most: u32, // attempts, by the settings that it came in under
+    last: Option<Sent>,
     out: Option<Option<F::Attempt>>, // an attempt is out; the inner hold is gone once it was told to stop
 }
 
@@ -258,7 +298,8 @@
             Input::Accept(request, job) => {
                 self.counters.taken.add();
                 let until = Instant::now() + Duration::from_micros(request.left_us);
-                let entry = Entry { job: Some(job), until, sent: 0, most: self.max_attempts, out: None };
+                let entry =
+                    Entry { job: Some(job), until, sent: 0, most: self.max_attempts, last: None, out: None };
                 self.table.insert(request.id, entry);
                 self.due.push(Reverse((until, Due::Deadline(request.id))));
                 self.tell(Event::Accept(request));
@@ -278,6 +319,9 @@
                 self.tell(Event::Taken { id: tag.id, attempt: tag.attempt })
             }
             Input::Started(tag) if self.is_out(tag) => {
+                if let Some(last) = self.table.get_mut(&tag.id).and_then(|e| e.last.as_mut()) {
+                    last.started = last.started.or(Some(Instant::now()));
+                }
                 self.tell(Event::Started { id: tag.id, attempt: tag.attempt })
             }
             Input::Progress(tag, done) if self.is_out(tag) => {
@@ -290,6 +334,12 @@
                 self.tell(if full { Event::FullList(entries) } else { Event::ListChanges(entries) });
             }
             Input::ListFailed => self.tell(Event::ListFailed),
+            Input::Adopt(request, job, sent) => self.adopt(request, job, sent),
+            Input::Lift(done) => {
+                self.lift();
+                let _ = done.send(()); // fails where nobody waits any more
+            }
+            Input::Moved(tag) => self.moved(tag),
             Input::Settings(settings, continues) => {
                 self.max_attempts = settings.max_attempts;
                 self.tell(Event::Settings { settings, continues });
@@ -297,6 +347,43 @@
         }
     }
 
+    fn adopt(&mut self, request: Request, job: F::Job, sent: Sent) {
+        self.counters.adopted.add();
+        let (id, started) = (request.id, sent.started);
+        let ago = |at: Instant| at.elapsed().as_micros() as Time;
+        let tag = Tag { id, attempt: 0 };
+        let out = Some(Some(self.front.send(tag, &job, sent.worker, sent.until)));
+        let (until, most) = (sent.until, self.max_attempts);
+        self.table.insert(id, Entry { job: Some(job), until, sent: 1, most, last: Some(sent), out });
+        self.due.push(Reverse((until, Due::Deadline(id))));
+        let (sent_us, started_us) = (ago(sent.at), started.map(ago));
+        self.tell(Event::Adopted { request, worker: sent.worker, sent_us, started_us });
+    }
+
+    fn lift(&mut self) {
+        for (id, entry) in &self.table {
+            // Of a request that was sent more than once, the module knows more than goes along.
+            let (Some(job), Some(Some(hold)), Some(sent), 1) =
+                (&entry.job, &entry.out, &entry.last, entry.sent)
+            else {
+                continue;
+            };
+            self.front.lift(Tag { id: *id, attempt: 0 }, sent, job, hold);
+        }
+    }
+
+    fn moved(&mut self, tag: Tag) {
+        let Some(entry) = self.table.remove(&tag.id) else { return };
+        self.counters.moved.add();
+        if let Some(Some(hold)) = entry.out {
+            self.front.stop(hold, Outcome::Cancelled);
+        }
+        // The module hears that it is over here; nobody is told.
+        self.tell(Event::ClientLeft { id: tag.id });
+        let (id, attempt, outcome) = (tag.id, tag.attempt, Outcome::Cancelled);
+        self.tell(Event::Ended(Ending { id, attempt, outcome, last: true, kept: false, report: None }));
+    }
+
     fn is_out(&self, tag: Tag) -> bool {
         self.table.get(&tag.id).is_some_and(|e| e.out.is_some() && e.sent == tag.attempt + 1)
     }
@@ -404,6 +491,7 @@
         let Some(job) = &entry.job else { return self.moot(id) };
         let tag = Tag { id, attempt: entry.sent };
         entry.sent += 1;
+        entry.last = Some(Sent { worker, at: Instant::now(), started: None, until: entry.until });
         entry.out = Some(Some(self.front.send(tag, job, worker, entry.until)));
         self.counters.sent.add();
     }
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a worker, from its connection to its one outcome.
 
 use super::fields::{self, News};
+use super::moving::{Adopted, Line};
 use super::open::Id;
 use super::pool::{Connection, Pool};
 use super::Job;
@@ -13,7 +14,8 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{timeout, Instant};
@@ -31,6 +33,10 @@
     pub key: Option<HeaderValue>,
     pub target: PathAndQuery,
     pub body: Bytes,
+    /// Where its connection can be found.
+    pub line: Arc<Line>,
+    /// An attempt that another process made, to go on with.
+    pub adopted: Option<Adopted>,
 }
 
 /// What attempts share.
@@ -59,19 +65,22 @@
     pub async fn carry(
         self: Arc<Self>,
         tag: Tag,
-        parcel: Parcel,
+        mut parcel: Parcel,
         worker: WorkerId,
         until: Instant,
         stopped: oneshot::Receiver<Outcome>,
     ) {
-        let mut connection = None;
+        let (mut connection, adopted) = (None, parcel.adopted.take());
         let end = tokio::select! {
             biased;
-            end = self.exchange(tag, &parcel, worker, until, &mut connection) => end,
+            end = self.exchange(tag, &parcel, worker, until, adopted, &mut connection) => end,
             // A sender that is dropped unused means that the core has ended.
             why = stopped => End::plain(why.unwrap_or(Outcome::Cancelled)),
         };
         let End { outcome, report, result, kept, rest } = end;
+        if parcel.line.moved.load(Ordering::Relaxed) {
+            return; // another process goes on with it
+        }
         let Some((rest, most)) = rest else {
             // Guards the rule of one copy: the connection is closed before the core may send a new one.
             if let Some(connection) = connection {
@@ -97,18 +106,27 @@
         parcel: &Parcel,
         worker: WorkerId,
         until: Instant,
+        adopted: Option<Adopted>,
         place: &mut Option<Connection>,
     ) -> End {
-        let Some(connection) = self.pool.connect(worker).await else {
-            return End::plain(Outcome::ConnectFailed);
+        let again = adopted.is_some();
+        let connection = match adopted {
+            Some(adopted) => self.pool.adopt(adopted, parcel.body.len()).await,
+            None => self.pool.connect(worker).await,
+        };
+        let Some(connection) = connection else {
+            // An attempt that was made by another process may have run.
+            return End::plain(if again { Outcome::Reset } else { Outcome::ConnectFailed });
         };
         let connection = place.insert(connection);
+        let link = (connection.leash.clone(), connection.meter.clone(), connection.address);
+        *parcel.line.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
         let request = parcel.request(connection, until);
         match connection.sender.send_request(request).await {
             Ok(response) => self.read(tag, parcel, response).await,
             Err(e) => {
                 log::debug!("attempt {tag:?}: {e}");
-                let whole = connection.meter.lock().map_or(true, |w| w.whole(parcel.body.len()));
+                let whole = again || connection.meter.lock().map_or(true, |w| w.whole(parcel.body.len()));
                 // Unless some of the request surely is still here, it may have run.
                 let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
                 End { kept: whole && connection.kept, ..End::plain(outcome) }
--- a/node/src/platform/gate.rs
+++ b/node/src/platform/gate.rs
@@ -162,6 +162,11 @@
         self.state().until.unwrap_or_else(|| Instant::now() + MESSAGE_WAIT)
     }
 
+    /// Whether nothing follows on the message that is at work.
+    pub fn settled(&self) -> bool {
+        self.state().messages.between()
+    }
+
     /// How the connection is quiet.
     pub fn quiet(&self) -> Quiet {
         let state = self.state();
@@ -205,6 +210,11 @@
         Gate { socket, watcher: Watcher(Arc::new(Mutex::new(state))), timer: Box::pin(sleep_until(until)) }
     }
 
+    /// What it reads from.
+    pub fn socket(&self) -> &S {
+        &self.socket
+    }
+
     /// For the connection's service.
     pub fn watcher(&self) -> Watcher {
         self.watcher.clone()
--- a/node/src/platform/meter.rs
+++ b/node/src/platform/meter.rs
@@ -1,16 +1,20 @@
 //! Counts on the socket whether all of a request has been written: 'it never ran' hangs on that.
 
+use bytes::Bytes;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// What is kept of an answer for a move to another process; a longer one does not move.
+const SAID_MAX: usize = 16 * 1024;
 
-/// How much of the current request the socket has taken.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// How much of the current request the socket has taken, and what has come back since.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Written {
+    said: Vec<u8>,
     matched: usize, // bytes of the head's end seen in a row
     body: usize,    // bytes after it
 }
@@ -30,6 +34,16 @@
         self.body += bytes.len();
     }
 
+    /// What has come back since the request was begun; `None` where it is too much to keep.
+    pub fn said(&self) -> Option<Bytes> {
+        (self.said.len() <= SAID_MAX).then(|| Bytes::copy_from_slice(&self.said))
+    }
+
+    fn heard(&mut self, bytes: &[u8]) {
+        let room = (SAID_MAX + 1).saturating_sub(self.said.len()); // one more tells that it is too much
+        self.said.extend_from_slice(&bytes[..bytes.len().min(room)]);
+    }
+
     /// Whether a request with a body of this length is written to its last byte.
     pub fn whole(&self, body: usize) -> bool {
         self.matched == HEAD_END.len() && self.body >= body
@@ -45,19 +59,49 @@
     pub socket: S,
     /// The count.
     pub meter: Meter,
+    /// A request with a body of this length that another process has written already: it is counted and goes no
+    /// further, and no answer is read before that.
+    pub written: Option<usize>,
+    /// Who waits for it.
+    pub reader: Option<Waker>,
+}
+
+impl<S> Metered<S> {
+    /// A socket of this process.
+    pub fn new(socket: S, meter: Meter) -> Metered<S> {
+        Metered { socket, meter, written: None, reader: None }
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buf)
+        if self.written.is_some() {
+            self.reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        std::task::ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        if let Ok(mut written) = self.meter.lock() {
+            written.heard(&buf.filled()[before..]);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
 impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let taken = std::task::ready!(Pin::new(&mut self.socket).poll_write(cx, bytes))?;
+        let taken = match self.written {
+            Some(_) => bytes.len(),
+            None => std::task::ready!(Pin::new(&mut self.socket).poll_write(cx, bytes))?,
+        };
+        let mut whole = false;
         if let Ok(mut written) = self.meter.lock() {
             written.note(&bytes[..taken]);
+            whole = self.written.is_some_and(|body| written.whole(body));
+        }
+        if whole {
+            self.written = None;
+            self.reader.take().into_iter().for_each(Waker::wake);
         }
         Poll::Ready(Ok(taken))
     }
@@ -75,6 +119,7 @@
 mod tests {
     use super::*;
     use quickcheck::{Gen, QuickCheck};
+    use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
 
     #[test]
     fn a_request_is_whole_with_its_last_byte() {
@@ -96,4 +141,26 @@
         let generator = Gen::from_size_and_seed(100, 7); // the same in every run
         QuickCheck::new().rng(generator).quickcheck(property as fn(String, Vec<u8>, Vec<u8>) -> bool);
     }
+
+    /// Guards a worker against a job written twice: what another process wrote goes no further, the next one does,
+    /// and what the worker says is read and kept from then on.
+    #[tokio::test]
+    async fn a_request_that_another_process_wrote_is_not_written_again() {
+        let (socket, mut peer) = duplex(64);
+        let meter = Meter::default();
+        let mut metered = Metered { written: Some(4), ..Metered::new(socket, meter.clone()) };
+        peer.write_all(b"said").await.unwrap();
+        metered.write_all(b"POST / HTTP/1.1\r\n\r\nbo").await.unwrap();
+        let mut four = [0; 4];
+        let early = tokio::time::timeout(std::time::Duration::ZERO, metered.read_exact(&mut four)).await;
+        assert!(early.is_err(), "no answer before the request");
+        metered.write_all(b"dy").await.unwrap();
+        metered.read_exact(&mut four).await.unwrap();
+        assert_eq!((&four, meter.lock().unwrap().said().as_deref()), (b"said", Some(&b"said"[..])));
+        metered.write_all(b"next").await.unwrap();
+        peer.read_exact(&mut four).await.unwrap();
+        assert_eq!(&four, b"next");
+        meter.lock().unwrap().heard(&[0; SAID_MAX]);
+        assert_eq!(meter.lock().unwrap().said(), None, "too much to keep");
+    }
 }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -6,28 +6,32 @@
 mod follow;
 mod gate;
 mod meter;
+mod moving;
 mod open;
 mod pool;
 mod room;
 mod server;
+pub mod socket;
 mod stock;
 
 pub use server::listen;
 
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
+use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Sent, Tag};
 use crate::phase::Phases;
 use crate::retune::Tuning;
-use crate::upgrade::{self, Before, Held};
+use crate::upgrade::{self, Before, Held, Lifted};
 use attempt::Carrier;
 use bytes::Bytes;
-use dewlever::api::{Outcome, Settings, WorkerId};
+use dewlever::api::{Outcome, Request, Settings, WorkerId};
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
+use moving::{Adopted, Hold, Line, Moving};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use stock::Stock;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
@@ -39,33 +43,49 @@
     key: Option<HeaderValue>,
     target: PathAndQuery,
     body: Bytes,
+    /// What the decisions need of it.
+    fields: Request,
+    /// Its connection.
+    client: Option<moving::Client>,
+    /// An attempt that another process made, until it goes on here.
+    adopted: Mutex<Option<Adopted>>,
     reply: oneshot::Sender<Answer>,
 }
 
 /// The platform's front.
 struct Platform {
     carrier: Arc<Carrier>,
+    lifted: Arc<Mutex<Vec<Lifted>>>,
 }
 
 impl Front for Platform {
     type Job = Job;
-    type Attempt = oneshot::Sender<Outcome>;
+    type Attempt = Hold;
 
     fn send(&mut self, tag: Tag, job: &Job, worker: WorkerId, until: Instant) -> Self::Attempt {
         let (stop, stopped) = oneshot::channel();
+        let line = Arc::new(Line::default());
         let parcel = attempt::Parcel {
             id: job.id.clone(),
             key: job.key.clone(),
             target: job.target.clone(),
             body: job.body.clone(),
+            line: line.clone(),
+            adopted: job.adopted.lock().unwrap_or_else(PoisonError::into_inner).take(),
         };
         tokio::spawn(self.carrier.clone().carry(tag, parcel, worker, until, stopped));
-        stop
+        Hold { stop, line }
     }
 
     fn stop(&mut self, attempt: Self::Attempt, why: Outcome) {
         // Fails where the attempt has just ended by itself; its own outcome is in the queue then.
-        let _ = attempt.send(why);
+        let _ = attempt.stop.send(why);
+    }
+
+    fn lift(&mut self, tag: Tag, sent: &Sent, job: &Job, hold: &Hold) {
+        let moving = Moving::lift(sent, job, hold, &self.carrier.names.borrow());
+        let lifted = moving.and_then(|moving| moving::lifted(&self.carrier.handle, tag, job, hold, moving));
+        self.lifted.lock().unwrap_or_else(PoisonError::into_inner).extend(lifted);
     }
 
     fn answer(&mut self, job: Job, answer: Answer) {
@@ -117,10 +137,15 @@
         (other, remains) = (held, Some(link));
     }
     let (connect, idle) = (first.connect_timeout, first.conn_idle);
-    let stock = Arc::new(Stock::new(limits, other, connect, idle, counters.clone()));
+    let stock = Arc::new(Stock::new(handle.clone(), limits, other, connect, idle, counters.clone()));
     let pool = stock.pool.clone();
     let carrier = Arc::new(Carrier { handle: handle.clone(), pool: pool.clone(), names: names.clone() });
-    let core = Dispatcher::new(platform(settings), seed, Platform { carrier }, counters.clone());
+    let core = Dispatcher::new(
+        platform(settings),
+        seed,
+        Platform { carrier, lifted: stock.lifted.clone() },
+        counters.clone(),
+    );
     let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
@@ -145,22 +170,28 @@
             std::future::pending::<()>().await; // holds the names for those that look at them
         }
     });
-    if let Some(remains) = remains {
-        // The other process's open ids stay closed here for as long as it lives.
-        let ids: Vec<_> =
-            ids.iter().filter_map(|id| stock.ids.open(HeaderValue::from_str(id).ok()?)).collect();
-        let stock = stock.clone();
-        tokio::spawn(async move {
-            remains.follow(|held| stock.share(held)).await;
-            drop(ids);
-        });
-    }
     let listener = Arc::new(listener);
     if let Some(place) = place {
         let (listener, phases, stock) = (Arc::downgrade(&listener), phases.clone(), stock.clone());
         tokio::spawn(async move { upgrade::offer(&place, listener, &phases, &*stock).await });
     }
-    let server = server::Server { handle, names, counters, stock, phase: phases.follow(), phases };
+    let server = Arc::new(server::Server { handle, names, counters, stock, phase: phases.follow(), phases });
+    if let Some(remains) = remains {
+        // The other process's open ids stay closed here until their jobs come over, or it ends.
+        let ids = ids.into_iter().filter_map(|id| {
+            let open = server.stock.ids.open(HeaderValue::from_str(&id).ok()?)?;
+            Some((id, open))
+        });
+        let (mut ids, server): (HashMap<_, _>, _) = (ids.collect(), server.clone());
+        tokio::spawn(async move {
+            remains
+                .follow(
+                    |held| server.stock.share(held),
+                    |text, sockets| server.adopt(text, sockets, &mut ids),
+                )
+                .await;
+        });
+    }
     ready.send_replace(true);
     tokio::select! {
         () = server.run(listener) => Ok(()),
--- /dev/null
+++ b/node/src/platform/moving.rs
@@ -0,0 +1,188 @@
+//! Jobs that run while another process takes the node's place go on there: their client's and their worker's socket
+//! with what either has said so far, which the new process plays back into connections of its own.
+
+use super::gate::Watcher;
+use super::meter::Meter;
+use super::socket::Leash;
+use super::Job;
+use crate::config::Names;
+use crate::dispatcher::{Handle, Sent};
+use crate::upgrade::Lifted;
+use bytes::Bytes;
+use dewlever::api::{Outcome, Request, WorkerId};
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
+
+/// A client's connection, for who may move it.
+#[derive(Clone)]
+pub struct Client {
+    /// Its socket.
+    pub leash: Leash,
+    /// Where its messages end.
+    pub watcher: Watcher,
+    /// Told once it has moved.
+    pub moved: Arc<Notify>,
+}
+
+/// The core's hold on an attempt.
+pub struct Hold {
+    /// Ends it.
+    pub stop: oneshot::Sender<Outcome>,
+    /// Its connection.
+    pub line: Arc<Line>,
+}
+
+/// An attempt's connection, once there is one, and whether it has moved.
+#[derive(Default)]
+pub struct Line {
+    /// The socket, what has passed over it, and where it leads.
+    pub link: Mutex<Option<(Leash, Meter, SocketAddr)>>,
+    /// It is another process's: its end is not this one's to report.
+    pub moved: AtomicBool,
+}
+
+/// A job on its way, beside its two sockets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Moving {
+    /// The class, by name.
+    pub class: String,
+    /// The tenant, by name; empty where there are none.
+    pub tenant: String,
+    target: String,
+    id: String,
+    key: Option<String>,
+    body: Bytes,
+    hint_us: Option<u64>,
+    retry: bool,
+    slots: f64,
+    memory: f64,
+    left: Duration,
+    /// The worker, where it listens, and how long ago it was sent the job and started it.
+    worker: (u64, SocketAddr, Duration, Option<Duration>),
+    said: Bytes,
+}
+
+/// What goes on here of an attempt that another process made.
+pub struct Adopted {
+    /// Its socket, with what its worker said so far.
+    pub socket: OwnedFd,
+    /// Where the worker listens.
+    pub address: SocketAddr,
+    /// What the worker said.
+    pub said: Bytes,
+    /// What the module is told.
+    pub sent: Sent,
+}
+
+impl Moving {
+    /// Freezes a running job and takes it up, if all of it can move.
+    pub fn lift(sent: &Sent, job: &Job, hold: &Hold, names: &Names) -> Option<(Moving, Leash, Leash)> {
+        let client = job.client.as_ref()?;
+        let link = hold.line.link.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let (leash, meter, address) = link?;
+        let said = meter.lock().ok().filter(|m| m.whole(job.body.len())).and_then(|m| m.said())?;
+        if !client.watcher.settled() || !client.leash.is_played() || !leash.is_played() {
+            return None;
+        }
+        let text = |value: &hyper::header::HeaderValue| value.to_str().ok().map(String::from);
+        let Request { hint_us, retry, slots, memory, .. } = job.fields;
+        let moving = Moving {
+            class: names.classes.get(job.fields.class)?.clone(),
+            tenant: names.tenants.get(job.fields.tenant).cloned().unwrap_or_default(),
+            target: job.target.to_string(),
+            id: text(&job.id.value)?,
+            key: match &job.key {
+                Some(key) => Some(text(key)?),
+                None => None,
+            },
+            body: job.body.clone(),
+            hint_us,
+            retry,
+            slots,
+            memory,
+            left: sent.until.saturating_duration_since(Instant::now()),
+            worker: (sent.worker.0, address, sent.at.elapsed(), sent.started.map(|at| at.elapsed())),
+            said,
+        };
+        client.leash.freeze();
+        leash.freeze();
+        Some((moving, client.leash.clone(), leash))
+    }
+
+    /// The request as its client might have written it now.
+    pub fn request(&self) -> Vec<u8> {
+        let mut head = format!("POST {} HTTP/1.1\r\nX-Request-Id: {}\r\n", self.target, self.id);
+        let mut field = |name: &str, value: &dyn std::fmt::Display| {
+            let _ = write!(head, "{name}: {value}\r\n"); // a string takes all
+        };
+        field("X-Deadline", &format_args!("{:.6}", self.left.as_secs_f64().max(1e-6)));
+        field("X-Extras", &format_args!("slots={},memory={}", self.slots, self.memory));
+        if !self.tenant.is_empty() {
+            field("X-Tenant", &self.tenant);
+        }
+        if let Some(key) = &self.key {
+            field("Idempotency-Key", key);
+        }
+        if let Some(hint) = self.hint_us {
+            field("X-Cost-Hint", &hint);
+        }
+        if self.retry {
+            field("X-Retry", &1);
+        }
+        field("Content-Length", &self.body.len());
+        head.push_str("\r\n");
+        let mut request = head.into_bytes();
+        request.extend_from_slice(&self.body);
+        request
+    }
+
+    /// Its wire id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Its attempt, with the worker's socket.
+    pub fn adopted(&self, socket: OwnedFd) -> Adopted {
+        let (worker, address, at, started) = self.worker;
+        let ago = |span: Duration| Instant::now().checked_sub(span).unwrap_or_else(Instant::now);
+        let sent = Sent {
+            worker: WorkerId(worker),
+            at: ago(at),
+            started: started.map(ago),
+            until: Instant::now() + self.left,
+        };
+        Adopted { socket, address, said: self.said.clone(), sent }
+    }
+}
+
+/// What the core's front gives to the other process, and what becomes of the job here.
+pub fn lifted(
+    handle: &Handle<Job>,
+    tag: crate::dispatcher::Tag,
+    job: &Job,
+    hold: &Hold,
+    (moving, client, worker): (Moving, Leash, Leash),
+) -> Option<Lifted> {
+    let (handle, line, moved) = (handle.clone(), hold.line.clone(), job.client.as_ref()?.moved.clone());
+    let leashes = [client, worker];
+    let done = {
+        let leashes = leashes.clone();
+        Box::new(move |taken: bool| {
+            if taken {
+                line.moved.store(true, Ordering::Relaxed);
+                handle.moved(tag);
+                moved.notify_one();
+            } else {
+                leashes.iter().for_each(Leash::thaw);
+            }
+        })
+    };
+    Some(Lifted { text: serde_json::to_string(&moving).ok()?, sockets: leashes, done })
+}
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -2,6 +2,8 @@
 
 use super::fields::Member;
 use super::meter::{Meter, Metered, Written};
+use super::moving::Adopted;
+use super::socket::{Leash, Socket};
 use crate::counters::Counters;
 use bytes::Bytes;
 use dewlever::api::WorkerId;
@@ -31,6 +33,8 @@
     pub meter: Meter,
     /// The other end.
     pub address: SocketAddr,
+    /// A hold on its socket.
+    pub leash: Leash,
     driver: JoinHandle<()>,
     /// Whether it has served before.
     pub kept: bool,
@@ -64,6 +68,7 @@
     lines: Mutex<HashMap<WorkerId, Line>>,
     permits: Arc<Semaphore>,
     room: AtomicUsize,
+    owed: AtomicUsize, // room taken ahead of its being there
     times: Mutex<Times>,
     counters: Arc<Counters>,
 }
@@ -86,6 +91,7 @@
             lines: Mutex::default(),
             permits: Arc::new(Semaphore::new(room)),
             room: AtomicUsize::new(room),
+            owed: AtomicUsize::new(0),
             times: Mutex::new(Times { connect: connect_timeout, keep: idle_limit.mul_f64(KEEP) }),
             counters,
         }
@@ -101,8 +107,14 @@
         *self.times.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Room for so many connections more.
-    pub fn grow(&self, connections: usize) {
+    /// Room for so many connections more, less what was taken ahead of that.
+    pub fn share(&self, connections: usize) {
+        let owed = self.owed.load(Ordering::Relaxed).min(connections);
+        self.owed.fetch_sub(owed, Ordering::Relaxed);
+        self.grow(connections - owed);
+    }
+
+    fn grow(&self, connections: usize) {
         self.room.fetch_add(connections, Ordering::Relaxed);
         self.permits.add_permits(connections);
     }
@@ -171,8 +183,35 @@
         };
         let socket = TcpStream::connect(address).await.ok()?;
         socket.set_nodelay(true).ok()?;
-        let meter = Meter::default();
-        let io = TokioIo::new(Metered { socket, meter: meter.clone() });
+        let connection =
+            self.start(Metered::new(Socket::new(socket), Meter::default()), address, permit).await;
+        self.counters.opened.add();
+        connection
+    }
+
+    /// A connection that another process has written a request to, with a body of this length; what its worker
+    /// has said to that comes first.
+    pub async fn adopt(&self, adopted: Adopted, body: usize) -> Option<Connection> {
+        let permit = self.permits.clone().try_acquire_owned();
+        let permit = permit.or_else(|_| {
+            // The other process gives its descriptor up for it.
+            self.grow(1);
+            self.owed.fetch_add(1, Ordering::Relaxed);
+            self.permits.clone().try_acquire_owned()
+        });
+        let socket = Socket::received(adopted.socket, adopted.said.to_vec()).ok()?;
+        let socket = Metered { written: Some(body), ..Metered::new(socket, Meter::default()) };
+        self.start(socket, adopted.address, permit.ok()?).await
+    }
+
+    async fn start(
+        &self,
+        socket: Metered<Socket>,
+        address: SocketAddr,
+        permit: OwnedSemaphorePermit,
+    ) -> Option<Connection> {
+        let (meter, leash) = (socket.meter.clone(), socket.socket.leash());
+        let io = TokioIo::new(socket);
         let (mut sender, connection) =
             Builder::new().max_buf_size(READ_AHEAD).handshake::<_, Full<Bytes>>(io).await.ok()?;
         let driver = tokio::spawn(async move {
@@ -181,11 +220,11 @@
             }
         });
         sender.ready().await.ok()?;
-        self.counters.opened.add();
         Some(Connection {
             sender,
             meter,
             address,
+            leash,
             driver,
             kept: false,
             idle_since: Instant::now(),
--- a/node/src/platform/room.rs
+++ b/node/src/platform/room.rs
@@ -2,7 +2,7 @@
 
 use super::gate::{Quiet, Watcher};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -36,6 +36,7 @@
 /// Room for so many connections.
 pub struct Room {
     size: AtomicU32,
+    owed: AtomicUsize, // places taken ahead of their being there
     permits: Arc<Semaphore>,
     seats: Mutex<Seats>,
 }
@@ -44,7 +45,12 @@
     /// With this many places.
     pub fn new(size: usize) -> Arc<Room> {
         let permits = Arc::new(Semaphore::new(size));
-        Arc::new(Room { size: AtomicU32::new(size as u32), permits, seats: Mutex::default() })
+        Arc::new(Room {
+            size: AtomicU32::new(size as u32),
+            owed: AtomicUsize::new(0),
+            permits,
+            seats: Mutex::default(),
+        })
     }
 
     fn seats(&self) -> MutexGuard<'_, Seats> {
@@ -61,6 +67,10 @@
                 timeout(MAKE_WAY, self.permits.clone().acquire_owned()).await.ok()?.ok()?
             }
         };
+        Some(self.place(watcher, permit))
+    }
+
+    fn place(self: &Arc<Room>, watcher: &Watcher, permit: OwnedSemaphorePermit) -> Seat {
         let number = {
             let mut seats = self.seats();
             seats.next += 1;
@@ -69,7 +79,7 @@
         let (asked, watcher) = (Arc::default(), watcher.clone());
         let seat = Seat { room: self.clone(), number, watcher, asked, _permit: permit };
         seat.rest();
-        Some(seat)
+        seat
     }
 
     /// Takes out who is to make way.
@@ -80,8 +90,24 @@
         seats.quiet.remove(&number).map(|(_, asked)| asked)
     }
 
-    /// So many places more.
-    pub fn grow(&self, places: usize) {
+    /// A place for a connection that another process gives up, whether there is one or not.
+    pub fn moved(self: &Arc<Room>, watcher: &Watcher) -> Option<Seat> {
+        let permit = self.permits.clone().try_acquire_owned().or_else(|_| {
+            self.grow(1);
+            self.owed.fetch_add(1, Ordering::Relaxed);
+            self.permits.clone().try_acquire_owned()
+        });
+        Some(self.place(watcher, permit.ok()?))
+    }
+
+    /// So many places more, less what was taken ahead of that.
+    pub fn share(&self, places: usize) {
+        let owed = self.owed.load(Ordering::Relaxed).min(places);
+        self.owed.fetch_sub(owed, Ordering::Relaxed);
+        self.grow(places - owed);
+    }
+
+    fn grow(&self, places: usize) {
         self.size.fetch_add(places as u32, Ordering::Relaxed);
         self.permits.add_permits(places);
     }
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -1,9 +1,12 @@
 //! The clients' side: connections, requests in, one final answer out for each.
 
 use super::gate::{Framing, Gate, Watcher};
+use super::moving::{Adopted, Moving};
+use super::open::Id;
 use super::room::Seat;
+use super::socket::Socket;
 use super::stock::Stock;
-use super::{fields, Job};
+use super::{fields, moving, Job};
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
@@ -17,14 +20,16 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 const BODY_MAX: usize = 64 * 1024;
@@ -69,8 +74,8 @@
 impl Server {
     /// Accepts and serves; ends once the node is told to stop, or has handed over, and all that was taken is
     /// answered.
-    pub async fn run(self, listener: Arc<TcpListener>) {
-        let server = Arc::new(self);
+    pub async fn run(self: Arc<Self>, listener: Arc<TcpListener>) {
+        let server = self;
         let (mut phase, mut ours) = (server.phase.clone(), true);
         while ours || *phase.borrow() != Phase::Closing {
             if phase.borrow_and_update().accepts() {
@@ -110,10 +115,10 @@
 
     async fn take(self: &Arc<Self>, socket: TcpStream) {
         let server = self.clone();
-        let gate = Gate::new(socket);
+        let gate = Gate::new(Socket::new(socket));
         if let Some(seat) = self.stock.room.seat(&gate.watcher()).await {
             self.counters.accepted.add();
-            tokio::spawn(async move { server.serve(gate, seat).await });
+            tokio::spawn(async move { server.serve(gate, seat, None).await });
         } else if let Ok(permit) = self.stock.beyond.clone().try_acquire_owned() {
             tokio::spawn(async move {
                 // Past the wait the client has had its time to send and read.
@@ -126,8 +131,35 @@
         }
     }
 
-    async fn serve(&self, gate: Gate<TcpStream>, seat: Seat) {
-        let visit = Visit { watcher: gate.watcher(), seat, requests: AtomicU64::new(0) };
+    /// Goes on with a job of another process, which is told whether this one has it.
+    pub fn adopt(
+        self: &Arc<Self>,
+        text: &str,
+        [client, worker]: [OwnedFd; 2],
+        ids: &mut HashMap<String, Arc<Id>>,
+    ) -> bool {
+        let names = self.names.borrow().clone();
+        let Ok(moving) = serde_json::from_str::<Moving>(text) else { return false };
+        // A job of a class that this process does not offer keeps its rules where it is.
+        if names.class(&moving.class).is_none()
+            || (!names.tenants.is_empty() && names.tenant(&moving.tenant).is_none())
+        {
+            return false;
+        }
+        let Ok(socket) = Socket::received(client, moving.request()) else { return false };
+        let gate = Gate::new(socket);
+        let Some(seat) = self.stock.room.moved(&gate.watcher()) else { return false };
+        ids.remove(moving.id());
+        let (server, adopted) = (self.clone(), moving.adopted(worker));
+        tokio::spawn(async move { server.serve(gate, seat, Some(adopted)).await });
+        true
+    }
+
+    async fn serve(&self, gate: Gate<Socket>, seat: Seat, adopted: Option<Adopted>) {
+        let (leash, watcher, moved) = (gate.socket().leash(), gate.watcher(), Arc::new(Notify::new()));
+        let client = moving::Client { leash, watcher: watcher.clone(), moved: moved.clone() };
+        let visit =
+            Visit { watcher, seat, requests: AtomicU64::new(0), client, adopted: Mutex::new(adopted) };
         let service = service_fn(|request| {
             let visit = &visit;
             async move { Ok::<_, Infallible>(self.request(request, visit).await) }
@@ -139,6 +171,7 @@
             // Before the connection is looked at: it must not take a request in and then go.
             answered = visit.seat.make_way() => Some(answered),
             ended = connection.as_mut() => return log_end(ended),
+            () = moved.notified() => return, // another process has the socket
             () = self.sent_away(&visit) => None,
         };
         if leaves == Some(false) {
@@ -146,8 +179,9 @@
         }
         connection.as_mut().graceful_shutdown();
         let limit = if leaves.is_some() { LEAVE_WAIT } else { Duration::MAX };
-        if let Ok(ended) = timeout(limit, connection).await {
-            log_end(ended);
+        tokio::select! {
+            ended = timeout(limit, connection) => ended.map_or((), log_end),
+            () = moved.notified() => {}
         }
     }
 
@@ -161,7 +195,7 @@
         }
     }
 
-    async fn turn_away(&self, socket: Gate<TcpStream>) {
+    async fn turn_away(&self, socket: Gate<Socket>) {
         let service = service_fn(|request| async move { Ok::<_, Infallible>(self.no_room(request).await) });
         log_end(builder().keep_alive(false).serve_connection(TokioIo::new(socket), service).await);
     }
@@ -234,10 +268,13 @@
         }
         // Guards memory against many bodies at once: the room for one is taken before it is read.
         let most = body.size_hint().upper().unwrap_or(BODY_MAX as u64).min(BODY_MAX as u64);
-        let Ok(_room) = self.stock.bodies.try_acquire_many(most.div_ceil(1024) as u32) else {
+        let adopted = visit.adopted.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let room = self.stock.bodies.try_acquire_many(most.div_ceil(1024) as u32);
+        // A job that runs is never refused for want of room: the process before gives its own up for it.
+        if room.is_err() && adopted.is_none() {
             self.counters.turned_away.add();
             return Ok(refusal(SOON));
-        };
+        }
         let mut fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &names)
             .map_err(|why| (StatusCode::BAD_REQUEST, why))?;
         let body = match timeout_at(visit.watcher.until(), Limited::new(body, BODY_MAX).collect()).await {
@@ -261,7 +298,7 @@
             .open(id)
             .ok_or((StatusCode::CONFLICT, "a request with this X-Request-Id is open"))?;
         // Guards the answer to a request that was written while the node stops: SIGKILL would cut it off.
-        if let Some(last) = self.phases.last_moment(names.longest) {
+        if let Some(last) = self.phases.last_moment(names.longest).filter(|_| adopted.is_none()) {
             let left = last.saturating_duration_since(Instant::now()).as_micros() as u64;
             if left == 0 {
                 self.counters.turned_away.add();
@@ -270,8 +307,22 @@
             fields.left_us = fields.left_us.min(left);
         }
         let (reply, answer) = oneshot::channel();
-        let job = Job { id, key: key.cloned(), target, body, reply };
-        let mut client = Client { handle: &self.handle, id: self.handle.accept(fields, job), waits: true };
+        let sent = adopted.as_ref().map(|a| a.sent);
+        let job = Job {
+            id,
+            key: key.cloned(),
+            target,
+            body,
+            fields,
+            client: Some(visit.client.clone()),
+            adopted: Mutex::new(adopted),
+            reply,
+        };
+        let id = match sent {
+            Some(sent) => self.handle.adopt(fields, job, sent),
+            None => self.handle.accept(fields, job),
+        };
+        let mut client = Client { handle: &self.handle, id, waits: true };
         let answer = answer.await;
         client.waits = false;
         Ok(match answer {
@@ -288,6 +339,9 @@
     watcher: Watcher,
     seat: Seat,
     requests: AtomicU64,
+    client: moving::Client,
+    /// An attempt of another process, for the first request.
+    adopted: Mutex<Option<Adopted>>,
 }
 
 /// Tells the core when a client goes before its answer: hyper drops the request's future then.
--- a/node/src/platform/stock.rs
+++ b/node/src/platform/stock.rs
@@ -5,9 +5,11 @@
 use super::open::Ids;
 use super::pool::Pool;
 use super::room::Room;
+use super::Job;
 use crate::config::Limits;
 use crate::counters::Counters;
-use crate::upgrade::{Held, Holder, State};
+use crate::dispatcher::Handle;
+use crate::upgrade::{Held, Holder, Lifted, State};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::Semaphore;
@@ -42,6 +44,10 @@
 
 /// All that is shared out.
 pub struct Stock {
+    /// The core, for the jobs that move.
+    pub core: Handle<Job>,
+    /// The running jobs that it took up for another process.
+    pub lifted: Arc<Mutex<Vec<Lifted>>>,
     /// Places for clients.
     pub room: Arc<Room>,
     /// Places for those that find none.
@@ -61,6 +67,7 @@
 impl Stock {
     /// What these limits allow beside what another process holds.
     pub fn new(
+        core: Handle<Job>,
         limits: Limits,
         other: Held,
         connect_timeout: Duration,
@@ -69,6 +76,8 @@
     ) -> Stock {
         let given = Shares::new(limits, other);
         Stock {
+            core,
+            lifted: Arc::default(),
             room: Room::new(given.clients),
             beyond: Arc::new(Semaphore::new(TURNED_AWAY)),
             pool: Arc::new(Pool::new(given.workers, connect_timeout, conn_idle, counters)),
@@ -90,8 +99,8 @@
     pub fn share(&self, other: Held) {
         let mut given = self.given.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Shares::new(self.limits, other);
-        self.room.grow(now.clients.saturating_sub(given.clients));
-        self.pool.grow(now.workers.saturating_sub(given.workers));
+        self.room.share(now.clients.saturating_sub(given.clients));
+        self.pool.share(now.workers.saturating_sub(given.workers));
         self.bodies.add_permits(now.bodies_kib.saturating_sub(given.bodies_kib));
         *given = Shares {
             clients: now.clients.max(given.clients),
@@ -119,23 +128,36 @@
     fn let_go(&self) {
         self.pool.let_go();
     }
+
+    async fn lift(&self) -> Vec<Lifted> {
+        self.core.lift().await;
+        std::mem::take(&mut *self.lifted.lock().unwrap_or_else(PoisonError::into_inner))
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::dispatcher::queue;
 
     /// Guards the limits while two processes are one node: together they never hold more than one may.
     #[test]
     fn what_another_process_holds_is_not_there_until_it_gives_it_up() {
         for (sockets, memory_mb) in [(128, 16), (256, 32), (1024, 192)] {
             let limits = Limits { sockets, memory_mb };
-            let old = Stock::new(limits, Held::default(), Duration::ZERO, Duration::ZERO, Arc::default());
+            let old = Stock::new(
+                queue().0,
+                limits,
+                Held::default(),
+                Duration::ZERO,
+                Duration::ZERO,
+                Arc::default(),
+            );
             let all = *old.given.lock().unwrap();
             let clients = old.room.permits((all.clients / 4) as u32);
             let bodies = old.bodies.try_acquire_many(all.bodies_kib as u32 / 2).unwrap();
             let held = old.held();
-            let new = Stock::new(limits, held, Duration::ZERO, Duration::ZERO, Arc::default());
+            let new = Stock::new(queue().0, limits, held, Duration::ZERO, Duration::ZERO, Arc::default());
             let given = *new.given.lock().unwrap();
             let together = held.descriptors + FIXED + TURNED_AWAY + given.clients + given.workers;
             assert!(together <= sockets || given.clients + given.workers <= FLOOR, "{together} of {sockets}");
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -4,15 +4,17 @@
 
 use crate::phase::Phases;
 use crate::platform::fields::ListBody;
+use crate::platform::socket::Leash;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 use serde::{Deserialize, Serialize};
+use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::sync::Weak;
 use std::time::Duration;
@@ -47,6 +49,16 @@
     pub bodies_kib: usize,
 }
 
+/// A running job that was taken up: it moves, or it is let go and goes on here.
+pub struct Lifted {
+    /// What goes with its sockets.
+    pub text: String,
+    /// Its client's and its worker's.
+    pub sockets: [Leash; 2],
+    /// Whether the other process has it.
+    pub done: Box<dyn FnOnce(bool) + Send>,
+}
+
 /// A front that can be taken over.
 pub trait Holder {
     /// What goes with the listener.
@@ -55,6 +67,8 @@
     fn held(&self) -> Held;
     /// Nothing new comes: what is kept for later can go.
     fn let_go(&self);
+    /// Takes up the running jobs that can move.
+    fn lift(&self) -> impl Future<Output = Vec<Lifted>> + Send;
 }
 
 /// Where the process that serves this address waits for the next one: in `TMPDIR`, which the platform keeps to
@@ -88,6 +102,7 @@
 
     async fn ask(link: UnixStream) -> io::Result<(TcpListener, Before)> {
         let listener = link.async_io(Interest::READABLE, || receive(&link)).await?;
+        let listener = listener.into_iter().next().ok_or(ErrorKind::InvalidData)?;
         let listener = std::net::TcpListener::from(listener);
         listener.set_nonblocking(true)?;
         let listener = TcpListener::from_std(listener)?;
@@ -116,16 +131,49 @@
 pub struct Remains(BufReader<UnixStream>);
 
 impl Remains {
-    /// Brings each word on what it still holds; nothing, at its end.
-    pub async fn follow(mut self, mut hear: impl FnMut(Held)) {
-        while let Ok(text) = line(&mut self.0).await {
-            if let Ok(held) = serde_json::from_str(&text) {
-                hear(held);
-            }
+    /// Takes the jobs that run there over, each as `adopt` says whether it can be; then brings each word on what
+    /// it still holds, and nothing, at its end.
+    pub async fn follow(
+        mut self,
+        mut hear: impl FnMut(Held),
+        mut adopt: impl FnMut(&str, [OwnedFd; 2]) -> bool,
+    ) {
+        let mut ended = self.0.get_mut().write_all(b"ready\n").await.is_err();
+        while !ended {
+            ended = self.word(&mut hear, &mut adopt).await.is_err();
         }
         log::info!("upgrade: the process before has ended");
         hear(Held::default());
     }
+
+    async fn word(
+        &mut self,
+        hear: &mut impl FnMut(Held),
+        adopt: &mut impl FnMut(&str, [OwnedFd; 2]) -> bool,
+    ) -> io::Result<()> {
+        // A job's sockets come with its first byte, and nothing comes behind a job before it has its answer.
+        let sockets = match self.0.buffer() {
+            [] => {
+                let link = self.0.get_ref();
+                link.async_io(Interest::READABLE, || receive(link)).await?
+            }
+            _ => {
+                self.0.consume(1);
+                Vec::new()
+            }
+        };
+        let text = line(&mut self.0).await?;
+        match <[OwnedFd; 2]>::try_from(sockets) {
+            Ok(sockets) => {
+                let word: &[u8] = if adopt(&text, sockets) { b"ok\n" } else { b"no\n" };
+                self.0.get_mut().write_all(word).await
+            }
+            Err(_) => {
+                hear(serde_json::from_str(&text)?);
+                Ok(())
+            }
+        }
+    }
 }
 
 /// Waits at this place for the next process and lets it take over, as long as there is a listener.
@@ -170,7 +218,7 @@
     let told = async {
         let listener = listener.upgrade().ok_or(ErrorKind::NotConnected)?;
         let link = link.get_mut();
-        link.async_io(Interest::WRITABLE, || send(link, &listener)).await?;
+        link.async_io(Interest::WRITABLE, || send(link, &[listener.as_fd()])).await?;
         drop(listener);
         say(link, &holder.state()).await
     };
@@ -181,18 +229,60 @@
     }
     let before = phases.hand_over();
     holder.let_go();
-    let ended = loop {
-        if let Err(e) = say(link.get_mut(), &holder.held()).await {
-            break e;
-        }
-        if let Ok(Err(e)) = timeout(WORD_EVERY, line(&mut link)).await {
-            break e;
-        }
+    let ended = match move_jobs(&mut link, holder).await {
+        Ok(()) => follow_successor(&mut link, holder).await,
+        Err(e) => e,
     };
     phases.take_back(before);
     Err(ended)
 }
 
+/// Says what is held, and hands the running jobs over, one after the other.
+async fn move_jobs(link: &mut BufReader<UnixStream>, holder: &impl Holder) -> io::Result<()> {
+    say(link.get_mut(), &holder.held()).await?;
+    if timeout(START_WAIT, line(link)).await?? != "ready" {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    let mut jobs = holder.lift().await.into_iter();
+    let (mut moved, mut result) = (0, Ok(()));
+    for job in jobs.by_ref() {
+        let sockets = [job.sockets[0].descriptor().as_fd(), job.sockets[1].descriptor().as_fd()];
+        let exchange = async {
+            let own = link.get_ref();
+            own.async_io(Interest::WRITABLE, || send(own, &sockets)).await?;
+            link.get_mut().write_all(format!("{}\n", job.text).as_bytes()).await?;
+            line(link).await
+        };
+        let answer = timeout(ANSWER_WAIT, exchange).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        let taken = matches!(answer.as_deref(), Ok("ok"));
+        moved += usize::from(taken);
+        (job.done)(taken);
+        if let Err(e) = answer {
+            result = Err(e);
+            break;
+        }
+    }
+    // Guards those that are left where the other process has failed: they go on here.
+    jobs.for_each(|job| (job.done)(false));
+    log::info!("upgrade: {moved} running jobs went over");
+    result
+}
+
+async fn follow_successor(link: &mut BufReader<UnixStream>, holder: &impl Holder) -> io::Error {
+    loop {
+        let word = async {
+            link.get_mut().write_all(b"H").await?;
+            say(link.get_mut(), &holder.held()).await
+        };
+        if let Err(e) = word.await {
+            return e;
+        }
+        if let Ok(Err(e)) = timeout(WORD_EVERY, line(link)).await {
+            return e;
+        }
+    }
+}
+
 async fn say(link: &mut UnixStream, what: &impl Serialize) -> io::Result<()> {
     let mut text = serde_json::to_vec(what)?;
     text.push(b'\n');
@@ -208,23 +298,26 @@
     }
 }
 
-fn send(link: &UnixStream, listener: &TcpListener) -> io::Result<()> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+fn send(link: &UnixStream, descriptors: &[BorrowedFd]) -> io::Result<()> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
     let mut control = SendAncillaryBuffer::new(&mut space);
-    let descriptors = [listener.as_fd()];
-    control.push(SendAncillaryMessage::ScmRights(&descriptors));
-    sendmsg(link, &[IoSlice::new(b"L")], &mut control, SendFlags::empty())?;
+    control.push(SendAncillaryMessage::ScmRights(descriptors));
+    sendmsg(link, &[IoSlice::new(b"D")], &mut control, SendFlags::empty())?;
     Ok(())
 }
 
-fn receive(link: &UnixStream) -> io::Result<OwnedFd> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+/// One byte, and the descriptors that came with it.
+fn receive(link: &UnixStream) -> io::Result<Vec<OwnedFd>> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut byte = [0];
-    recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
-    let mut descriptors = control.drain().filter_map(|message| match message {
+    let got = recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    if got.bytes == 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    let descriptors = control.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
         _ => None,
     });
-    descriptors.next().and_then(|mut d| d.next()).ok_or(ErrorKind::InvalidData.into())
+    Ok(descriptors.flatten().collect())
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -326,6 +326,17 @@
 pub enum Event {
     /// A request has come in and is owed one final answer.
     Accept(Request),
+    /// A request that another process of this dispatcher took and sent once: its first attempt goes on here.
+    Adopted {
+        /// The request; `left_us` as of now.
+        request: Request,
+        /// The worker that has it.
+        worker: WorkerId,
+        /// How long ago it was sent.
+        sent_us: Time,
+        /// How long ago its worker said that it started, if it did.
+        started_us: Option<Time>,
+    },
     /// A streamed answer has begun: the attempt is the client's now.
     StreamStarted {
         /// The request.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -203,6 +203,8 @@
         if !std::mem::replace(&mut self.started, true) && self.set.list_asked { out.push(Action::Watch); }
         match event {
             Event::Accept(request) => self.accept(request, out),
+            Event::Adopted { request, worker, sent_us, started_us } =>
+                self.adopt(request, *worker, *sent_us, *started_us, out),
             Event::StreamStarted { id, attempt: a } => self.live(*id, *a).map_or((), |j| j.streaming = true),
             Event::Taken { id, attempt } => self.taken_there(*id, *attempt, out),
             Event::Started { id, attempt } => self.news(*id, *attempt, true, out),
@@ -264,6 +266,25 @@
         self.recent += 1.0;
     }
 
+    /// A job that runs already: it holds its place at its worker, and its times are those it had.
+    fn adopt(&mut self, r: &Request, id: WorkerId, sent: Time, started: Option<Time>, out: &mut Vec<Action>) {
+        self.accept(r, out);
+        let (now, new) = (self.now, self.workers.len());
+        let w = *self.index.entry(id).or_insert(new);
+        // One that no list names any more: it gets nothing.
+        if w == new { self.workers.push(Worker { id, slow: 1.0, scale: 1.0, ..Worker::default() }); }
+        self.kinds.resize(self.kinds.len().max(1), (1.0, 0.0, 1.0));
+        let Some(job) = self.jobs.get_mut(&r.id) else { return };
+        let ago = |span| now.saturating_sub(span);
+        (job.stage, job.sent, job.admitted) = (Stage::Out, 1, ago(sent));
+        let started = started.map_or(0, ago);
+        job.attempt = Attempt { worker: w, sent: ago(sent), started, progressed: now, ..Attempt::default() };
+        let worker = &mut self.workers[w];
+        (worker.held, worker.used_at) = (worker.held + job.need, now);
+        let wait = self.patience(r.id);
+        self.plan(wait, Due::Check { id: r.id, attempt: 0 });
+    }
+
     fn ahead(&self, class: usize) -> Time {
         let dense = |i: usize| self.set.classes[i].worth.max(1e-3) / self.classes[i].usual.max(1.0);
         let least = self.offered().map(dense).fold(f64::INFINITY, f64::min);
@@ -593,7 +614,7 @@
         let (a, class) = (job.attempt, job.class as u64);
         job.attempt.progressed = now;
         if start {
-            (job.attempt.started, job.attempt.overdue) = (now, false);
+            (job.attempt.started, job.attempt.overdue) = (if a.started > 0 { a.started } else { now }, false);
             self.judged.remove(&(a.worker, (1, class)));
             self.workers[a.worker].overdue -= u32::from(a.overdue);
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -776,3 +776,26 @@
     let told = d.tell(Event::Settings { settings: Box::new(new), continues: vec![None, Some(0)] });
     assert!(told.is_empty() && sent(&d.accept(2, 1), 2).is_none(), "it is in doubt still: {told:?}");
 }
+
+/// Guards jobs that come from another process while they run: they hold their place, have the rules of their class
+/// and one outcome, and a worker that no list names gets nothing new.
+#[test]
+fn a_job_that_another_process_sent_goes_on_here() {
+    let classes = vec![class(Semantics::Safe), class(Semantics::Unsafe)];
+    let mut d = Desk::new(settings(classes), vec![worker(1, 0, 0)]);
+    let adopt = |d: &mut Desk, id, class, at| {
+        let request = Request { id, class, left_us: 4 * S, ..Request::default() };
+        d.tell(Event::Adopted { request, worker: WorkerId(at), sent_us: S, started_us: Some(S / 2) })
+    };
+    for id in 1..3 {
+        assert!(adopt(&mut d, id, 1, 1).is_empty());
+    }
+    assert!(sent(&d.accept(3, 0), 3).is_none(), "its cap is two");
+    assert!(sent(&d.ended(1, 0, Outcome::Ok), 3).is_some());
+    assert_eq!(d.ended(2, 0, Outcome::Reset), [Action::Fail { id: 2 }], "unsafe");
+    assert!(adopt(&mut d, 4, 0, 9).is_empty());
+    let mut actions = d.ended(4, 0, Outcome::Full);
+    actions.extend(d.pass(S));
+    assert!(actions.iter().all(|a| !matches!(a, Action::Send { worker: WorkerId(9), .. })));
+    assert!(d.pass(5 * S).iter().all(|a| !matches!(a, Action::Refuse { id: 2, .. })));
+}
