Count clients' places without taking them, so an upgrade in a crowd gives room at once

Checked with a log line in held(): 128 clients and 101 at work stood still for seconds while no client was left. Lines at fault: room.rs, empty(): a waiter for all places takes each as it becomes free, so none showed as free; stock.rs, held(): each idle client counted an attempt beside. Now: seats are counted as such and empty() waits for the count; only clients at work count an attempt; the first word on what is held comes after three turns of the runtime, in which idle connections close. The stock's test holds a waiter for the last client while one goes. Ruled out: the time before the first word alone (three turns: 280 still).

--- a/node/src/platform/room.rs
+++ b/node/src/platform/room.rs
@@ -2,7 +2,7 @@
 
 use super::gate::{Quiet, Watcher};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -35,7 +35,8 @@
 
 /// Room for so many connections.
 pub struct Room {
-    size: AtomicU32,
+    taken: AtomicUsize,
+    freed: Notify,
     owed: AtomicUsize, // places taken ahead of their being there
     permits: Arc<Semaphore>,
     seats: Mutex<Seats>,
@@ -46,7 +47,8 @@
     pub fn new(size: usize) -> Arc<Room> {
         let permits = Arc::new(Semaphore::new(size));
         Arc::new(Room {
-            size: AtomicU32::new(size as u32),
+            taken: AtomicUsize::new(0),
+            freed: Notify::new(),
             owed: AtomicUsize::new(0),
             permits,
             seats: Mutex::default(),
@@ -77,6 +79,7 @@
             seats.next
         };
         let (asked, watcher) = (Arc::default(), watcher.clone());
+        self.taken.fetch_add(1, Ordering::Relaxed);
         let seat = Seat { room: self.clone(), number, watcher, asked, _permit: permit };
         seat.rest();
         seat
@@ -108,27 +111,39 @@
     }
 
     fn grow(&self, places: usize) {
-        self.size.fetch_add(places as u32, Ordering::Relaxed);
         self.permits.add_permits(places);
     }
 
     /// How many places are taken.
     pub fn taken(&self) -> usize {
-        (self.size.load(Ordering::Relaxed) as usize).saturating_sub(self.permits.available_permits())
+        self.taken.load(Ordering::Relaxed)
     }
 
-    /// Returns once all places are free.
+    /// How many places have a request at work.
+    pub fn at_work(&self) -> usize {
+        self.taken().saturating_sub(self.seats().quiet.len())
+    }
+
+    /// Returns once all places are free. It takes none to see that: what is free is counted meanwhile.
     pub async fn empty(&self) {
-        let size = self.size.load(Ordering::Relaxed);
-        let _ = self.permits.acquire_many(size).await; // fails only for a room that was closed
+        let freed = self.freed.notified();
+        tokio::pin!(freed);
+        while self.taken() > 0 {
+            freed.as_mut().await;
+            freed.set(self.freed.notified());
+        }
     }
 }
 
 #[cfg(test)]
 impl Room {
-    /// So many places at once.
-    pub fn permits(&self, n: u32) -> OwnedSemaphorePermit {
-        self.permits.clone().try_acquire_many_owned(n).unwrap()
+    /// So many places at once, with a request at work at each.
+    pub fn at_work_now(self: &Arc<Room>, n: usize) -> Vec<Seat> {
+        let watcher = super::gate::Gate::new(()).watcher();
+        let seat = |_| self.place(&watcher, self.permits.clone().try_acquire_owned().unwrap());
+        let seats: Vec<Seat> = (0..n).map(seat).collect();
+        seats.iter().for_each(Seat::work);
+        seats
     }
 }
 
@@ -162,6 +177,8 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.work();
+        self.room.taken.fetch_sub(1, Ordering::Relaxed);
+        self.room.freed.notify_waiters();
     }
 }
 
--- a/node/src/platform/stock.rs
+++ b/node/src/platform/stock.rs
@@ -119,8 +119,8 @@
     fn held(&self) -> Held {
         let clients = self.room.taken();
         let turned_away = TURNED_AWAY.saturating_sub(self.beyond.available_permits());
-        // Each client that is left may yet have an attempt out.
-        let descriptors = FIXED + clients + turned_away + clients.max(self.pool.taken());
+        // Each client that waits for an answer may yet have an attempt out.
+        let descriptors = FIXED + clients + turned_away + self.room.at_work().max(self.pool.taken());
         let given = self.given.lock().unwrap_or_else(PoisonError::into_inner).bodies_kib;
         Held { descriptors, bodies_kib: given.saturating_sub(self.bodies.available_permits()) }
     }
@@ -139,10 +139,11 @@
 mod tests {
     use super::*;
     use crate::dispatcher::queue;
+    use tokio::time::timeout;
 
     /// Guards the limits while two processes are one node: together they never hold more than one may.
-    #[test]
-    fn what_another_process_holds_is_not_there_until_it_gives_it_up() {
+    #[tokio::test(start_paused = true)]
+    async fn what_another_process_holds_is_not_there_until_it_gives_it_up() {
         for (sockets, memory_mb) in [(128, 16), (256, 32), (1024, 192)] {
             let limits = Limits { sockets, memory_mb };
             let old = Stock::new(
@@ -154,7 +155,7 @@
                 Arc::default(),
             );
             let all = *old.given.lock().unwrap();
-            let clients = old.room.permits((all.clients / 4) as u32);
+            let mut clients = old.room.at_work_now(all.clients / 4);
             let bodies = old.bodies.try_acquire_many(all.bodies_kib as u32 / 2).unwrap();
             let held = old.held();
             let new = Stock::new(queue().0, limits, held, Duration::ZERO, Duration::ZERO, Arc::default());
@@ -162,7 +163,13 @@
             let together = held.descriptors + FIXED + TURNED_AWAY + given.clients + given.workers;
             assert!(together <= sockets || given.clients + given.workers <= FLOOR, "{together} of {sockets}");
             assert_eq!(held.bodies_kib + given.bodies_kib, all.bodies_kib);
+            // Who waits for the last client to go takes nothing meanwhile.
+            let mut last = std::pin::pin!(old.no_client());
+            assert!(timeout(Duration::ZERO, last.as_mut()).await.is_err());
+            drop(clients.pop());
+            assert_eq!(old.held().descriptors, held.descriptors - 2, "its client and its attempt");
             drop((clients, bodies));
+            assert!(timeout(Duration::ZERO, last.as_mut()).await.is_ok());
             new.share(old.held());
             let less = *new.given.lock().unwrap();
             assert!(less.clients > given.clients && less.clients < all.clients, "it is still there");
@@ -170,7 +177,7 @@
             new.share(Held::default());
             assert_eq!(*new.given.lock().unwrap(), all);
             assert_eq!(new.room.taken() + new.pool.taken(), 0);
-            let _all = new.room.permits(all.clients as u32);
+            let _all = new.room.at_work_now(all.clients);
             assert_eq!((new.room.taken(), new.bodies.available_permits()), (all.clients, all.bodies_kib));
         }
     }
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// For an answer of the other process; one that gives none is held to hang.
@@ -28,6 +29,9 @@
 const START_WAIT: Duration = Duration::from_secs(10);
 /// Between words on what the old process still holds.
 const WORD_EVERY: Duration = Duration::from_millis(50);
+/// Turns of the runtime in which idle connections close before the first word on what is held: one to hear of the
+/// phase, one to end.
+const SETTLE: u32 = 3;
 /// Between tries to accept where there is no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -239,6 +243,10 @@
 
 /// Says what is held, and hands the running jobs over, one after the other.
 async fn move_jobs(link: &mut BufReader<UnixStream>, holder: &impl Holder) -> io::Result<()> {
+    // Idle connections close now; what they held is not to be missed by the new process.
+    for _ in 0..SETTLE {
+        yield_now().await;
+    }
     say(link.get_mut(), &holder.held()).await?;
     if timeout(START_WAIT, line(link)).await?? != "ready" {
         return Err(ErrorKind::InvalidData.into());
