Share the clients' address only beside a process of the node that hangs

Seen in review: with SO_REUSEPORT set before the bind, a second node started by mistake on an address in use got part of the first one's clients, where it had ended with code 2 before. Now server.rs (listen) binds without it and sets it afterwards, so that only a start that found a hanging process, which sets it before, gets in beside.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -27,7 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use upgrade::Before;
+use upgrade::{Before, Found};
 
 /// Runs a node as its environment says. Bad input ends it with one line on standard error and code 2.
 pub fn run() -> ExitCode {
@@ -85,14 +85,15 @@
                     let place = upgrade::place(at);
                     let found = match &place {
                         Some(place) => Before::find(place).await,
-                        None => None,
+                        None => Found::Nobody,
+                    };
+                    let listen = |beside| {
+                        platform::listen(at, beside).map_err(|e| format!("cannot listen on {at}: {e}"))
                     };
                     let (listener, before) = match found {
-                        Some((listener, before)) => (listener, Some(before)),
-                        None => {
-                            let listener = platform::listen(at);
-                            (listener.map_err(|e| format!("cannot listen on {at}: {e}"))?, None)
-                        }
+                        Found::Process(listener, before) => (listener, Some(before)),
+                        Found::Hung => (listen(true)?, None),
+                        Found::Nobody => (listen(false)?, None),
                     };
                     let counters = counters[0].clone();
                     let links =
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -47,15 +47,22 @@
 /// Advice to clients over the budget.
 const SOON: Duration = Duration::from_millis(500);
 
-/// Listens; what the kernel's backlog holds counts as taken, so it is large.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Listens; what the kernel's backlog holds counts as taken, so it is large. With `beside`, also where a process of
+/// the node listens that hangs; else an address that is in use is an error.
+pub fn listen(address: SocketAddr, beside: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
-    // Guards a start beside a process of the node that hangs and does not hand its listener over.
-    if let Err(e) = socket.set_reuseport(true) {
-        log::debug!("no shared address: {e}");
+    if beside {
+        socket.set_reuseport(true)?;
+        socket.bind(address)?;
+    } else {
+        // Guards against a second node that is started on this one's address and gets part of its clients: the
+        // address may be shared only once it is this process's.
+        socket.bind(address)?;
+        if let Err(e) = socket.set_reuseport(true) {
+            log::debug!("no shared address: {e}");
+        }
     }
-    socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -89,17 +89,26 @@
     link: BufReader<UnixStream>,
 }
 
+/// Who serves now.
+pub enum Found {
+    /// A process that hands over, and its listener with all that waits there.
+    Process(TcpListener, Before),
+    /// A process that gives no answer.
+    Hung,
+    /// Nobody; a file may be left from a process that is gone.
+    Nobody,
+}
+
 impl Before {
-    /// Asks at this place, for the listener with all that waits there too. `None` where nobody answers: a file may
-    /// be left from a process that is gone.
-    pub async fn find(place: &Path) -> Option<(TcpListener, Before)> {
-        let link = UnixStream::connect(place).await.ok()?;
+    /// Asks at this place.
+    pub async fn find(place: &Path) -> Found {
+        let Ok(link) = UnixStream::connect(place).await else { return Found::Nobody };
         let asked = timeout(ANSWER_WAIT, Before::ask(link)).await;
         match asked.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
-            Ok(found) => Some(found),
+            Ok((listener, before)) => Found::Process(listener, before),
             Err(e) => {
                 log::warn!("upgrade: the process before gives no answer, starting without it: {e}");
-                None
+                Found::Hung
             }
         }
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -364,7 +364,7 @@
         let config = config::parse(&config.to_string(), |_| None).unwrap();
         let (listener, before) = match found {
             Some((listener, before)) => (listener, Some(before)),
-            None => (platform::listen(config.listen).unwrap(), None),
+            None => (platform::listen(config.listen, false).unwrap(), None),
         };
         let address = listener.local_addr().unwrap();
         let phases = Phases::default();
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -4,10 +4,11 @@
 
 use common::{request, Client, Platform, Worker};
 use molevale::phase::Phase;
-use molevale::upgrade::Before;
+use molevale::platform::listen;
+use molevale::upgrade::{Before, Found};
 use serde_json::json;
 use std::path::{Path, PathBuf};
-use tokio::net::UnixListener;
+use tokio::net::{TcpListener, UnixListener};
 use tokio::task::yield_now;
 use tokio::time::{advance, Duration};
 
@@ -17,6 +18,14 @@
     std::env::temp_dir().join(format!("molevale-test-{}-{name}", std::process::id()))
 }
 
+/// The process that serves now, and its listener.
+async fn find(place: &Path) -> Option<(TcpListener, Before)> {
+    match Before::find(place).await {
+        Found::Process(listener, before) => Some((listener, before)),
+        Found::Hung | Found::Nobody => None,
+    }
+}
+
 async fn old_node(place: &Path) -> (Worker, Platform) {
     let worker = Worker::start().await;
     let known = vec![worker.line("s-1", "in_service")];
@@ -45,7 +54,7 @@
         yield_now().await;
     }
     before.write("38\r\n{\"id\":\"9b1f03aa").await; // a line that is cut, here and there
-    let found = Before::find(&place).await.expect("the old process answers");
+    let found = find(&place).await.expect("the old process answers");
     assert!(old.phases.follow().borrow().up(), "it serves until the new one does");
     let new = Platform::at(Some(place.clone()), vec![], 256, 32, Some(found)).await;
     assert_eq!(new.address, old.address);
@@ -73,7 +82,7 @@
     assert_eq!(old.served.await.unwrap(), Ok(()), "the old one has nothing left");
     assert_eq!(late.ask(UP).await.status, 200);
     // The place is the new one's now.
-    assert!(Before::find(&place).await.is_some());
+    assert!(find(&place).await.is_some());
     std::fs::remove_file(place).unwrap();
 }
 
@@ -82,9 +91,9 @@
 async fn the_old_process_serves_on_where_the_new_one_fails() {
     let place = place("fails");
     let (worker, old) = old_node(&place).await;
-    drop(Before::find(&place).await.expect("the old process answers"));
+    drop(find(&place).await.expect("the old process answers"));
     assert_eq!(Client::connect(&old).await.ask(UP).await.status, 200);
-    let (listener, before) = Before::find(&place).await.expect("it answers again");
+    let (listener, before) = find(&place).await.expect("it answers again");
     let (held, remains) = before.replace().await;
     assert!(held.descriptors > 0);
     let mut phase = old.phases.follow();
@@ -110,7 +119,7 @@
     while old.counters.word.get() < 1 {
         yield_now().await;
     }
-    let (_listener, before) = Before::find(&place).await.unwrap();
+    let (_listener, before) = find(&place).await.unwrap();
     let (_, remains) = before.replace().await;
     let (offer, mut offered) = tokio::sync::mpsc::unbounded_channel();
     let adopt = move |text: &str, _| {
@@ -131,9 +140,9 @@
 async fn a_file_that_is_left_over_and_a_process_that_hangs_hold_up_no_start() {
     let place = place("stale");
     drop(UnixListener::bind(&place).unwrap());
-    assert!(place.exists() && Before::find(&place).await.is_none());
+    assert!(place.exists() && find(&place).await.is_none());
     let (worker, node) = old_node(&place).await; // its file takes the old one's place
-    while Before::find(&place).await.is_none() {
+    while find(&place).await.is_none() {
         yield_now().await;
     }
     drop((worker, node));
@@ -141,7 +150,7 @@
     let _hung = UnixListener::bind(&place).unwrap();
     let asked = tokio::spawn({
         let place = place.clone();
-        async move { Before::find(&place).await.is_none() }
+        async move { matches!(Before::find(&place).await, Found::Hung) }
     });
     for _ in 0..11 {
         yield_now().await;
@@ -150,3 +159,12 @@
     assert!(asked.await.unwrap());
     std::fs::remove_file(place).unwrap();
 }
+
+/// Guards an address in use: it is shared only beside a process of the node that hangs.
+#[tokio::test]
+async fn an_address_is_shared_only_beside_a_process_that_hangs() {
+    let first = listen("127.0.0.1:0".parse().unwrap(), false).unwrap();
+    let address = first.local_addr().unwrap();
+    assert!(listen(address, false).is_err());
+    assert!(listen(address, true).is_ok());
+}
