Choose workers by the list's live weights in a large fleet, and let queued jobs wait

Checked: the live weight in the list against the next job's start there: at no request a core 77% start at once, at one 12%, at 1.5 2%. Run times at cold workers: 1.6 times the usual at 4 to 8 s of age, 1.3 at 8 to 12 s, about the usual after that. Causes: (policy.rs) a node of 100 sees some 1.5 jobs a second, so its own caps say nothing and it chooses at random, small and large alike; a job not started after a usual time was called off, lost its place in the queue and put its worker in doubt; the part of a cold worker was taken from what the node itself served. Now, where the settings tell of live weights and more than 32 siblings: weights.rs learns each kind's size and cores from the weights, so requests of all nodes at each worker; a job's worker is drawn by lot, by the square of what is free (size, warmth, load), prices as before; a queued job waits while it can be in time at that worker's speed and its worker is not held silent; where the worst class counts (Goal.WorstClass), a class better served than another by 0.05 goes to workers with room only; each node has its part, one over the siblings, of what a cold worker can do by its size. Each guard taken out fails a test.

--- a/src/api.rs
+++ b/src/api.rs
@@ -126,6 +126,8 @@
     pub reports_free: bool,
     /// Whether the worker list comes only when asked.
     pub list_asked: bool,
+    /// Whether the list's sizes are live weights: lowered the more requests a worker holds, of all dispatchers.
+    pub live_weights: bool,
     /// Whether workers give word at once that they have taken a job, before it starts.
     pub tells_taken: bool,
     /// Whether workers tell when a job starts.
@@ -147,6 +149,8 @@
     pub tail_weight: f64,
     /// The share of such misses that is accepted.
     pub tail_slack: f64,
+    /// The weight of the class that is served worst; 0 for none.
+    pub worst_class_weight: f64,
     /// What a request past its tenant's share is worth, as a part of its usual worth.
     pub over_share_worth: f64,
     /// The least time between two events that can be told apart.
@@ -203,6 +207,7 @@
         }
         need(part(self.tail_weight), "the weight of kept promises must be finite and not negative")?;
         need((0.0..=1.0).contains(&self.tail_slack), "the accepted share of misses must lie within 0 and 1")?;
+        need(part(self.worst_class_weight), "the weight of the worst class must be finite and not negative")?;
         need(part(self.over_share_worth), "the over-share worth must be finite and not negative")?;
         need(part(self.rules.cold_share), "the cold share must be finite and not negative")?;
         need(part(self.rules.fall_multiple), "the fall multiple must be finite and not negative")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,5 +54,6 @@
 pub mod policy;
 pub mod settings;
 mod support;
+mod weights;
 
 pub use policy::Policy;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 
 use crate::api::*;
 use crate::support::{mix, pack, unit, unpack, Agenda, LeastSquares, Recent, Rng};
+use crate::weights::Weights;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 
@@ -27,6 +28,7 @@
 const RUN_SILENCE: u64 = 5; // usual job times without any sign of the worker's life that make silence
 const LONG: f64 = 8.0; // usual times: the first guess at a run time that one in 50 exceeds, and its gain
 const LONG_GAIN: f64 = 0.004;
+const KEPT_GAIN: f64 = 0.05; // a class's part of jobs served is over about 20, and can be told so far apart
 const APART: f64 = 0.3; // part of attempts without room that a class or tenant has more of than all there
 const TRIAL: Time = 300_000; // us before a doubted worker's trial; doubles with each doubt
 const DOUBT_MAX: u32 = 4; // doublings at most
@@ -68,7 +70,7 @@
 #[derive(Clone, Copy, Default)]
 struct Job {
     class: usize, tenant: usize, stage: Stage, key: u64,
-    need: f64,                                 // slots, or memory in its units if that is more
+    work: f64, need: f64,                      // us; slots, or memory in its units if that is more
     admitted: Time, deadline: Time, due: Time, // due: the last moment to send it and be in time
     ahead: Time,                               // its class's head start while it waits
     late: bool, in_share: bool, streaming: bool, counted: bool, // counted: it has entered w
@@ -94,7 +96,7 @@
 #[derive(Default)]
 struct Worker {
     id: WorkerId, kind: u8, zone: u8, cell: u32, scale: f64, since: Time, ready: bool, listed: bool,
-    held: f64, overdue: u32, cap: f64,                // slots of our jobs there, jobs waiting there, at most
+    held: f64, overdue: u32, cap: f64, there: f64,    // our jobs there, waiting, at most; those of all
     slow: f64, crowd: f64,                            // run times over the usual; had no room
     free: f64, free_at: Time,                         // free slots as reported, less what we sent since
     told: LoadReport, told_held: f64,                 // the last report, and what we held then
@@ -132,7 +134,7 @@
 #[derive(Default)]
 struct Class {
     usual: f64, long: f64, samples: f64, longest: Time, // run times, the median first; clients wait so long
-    regulator: Regulator, u: f64, w_sum: f64, w_count: u32, pooled: u32,
+    kept: f64, regulator: Regulator, u: f64, w_sum: f64, w_count: u32, pooled: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -157,6 +159,7 @@
     u: f64, u_max: f64, tokens: f64, filled_at: Time, // the throttle, jobs a second
     offered: f64, recent: f64, served: f64, served_now: f64, pressure: f64,
     kinds: Vec<(f64, f64, f64)>, // run times of a kind over the usual, of how many jobs; part with room
+    weights: Weights, work: f64, // what live weights tell of kinds; s at speed 1 that a job takes
     mean_cap: f64, // slots for our jobs at a worker, over all
     stale: f64, // the part of reports that repeat the one just before though our jobs there changed
     taken: Recent, further: Recent, // requests and further attempts, while they count
@@ -169,7 +172,7 @@
         settings.validate()?;
         let mut policy = Policy {
             rng: Rng(seed), now, u: f64::INFINITY, tokens: 1.0,
-            mean_cap: CAP_START, filled_at: now, born: now, ..Policy::default()
+            mean_cap: CAP_START, work: 1.0, filled_at: now, born: now, ..Policy::default()
         };
         policy.configure(settings, &[]);
         let phase = policy.rng.below(SECOND);
@@ -185,7 +188,7 @@
             let like = continues.get(i).copied().flatten().and_then(|j| self.classes.get(j));
             let first = c.aim_us.max(10_000) as f64;
             let (usual, long) = like.map_or((first, LONG * first), |c| (c.usual, c.long));
-            self.classes.push(Class { usual, long, u: 1.0, ..Class::default() });
+            self.classes.push(Class { usual, long, u: 1.0, kept: 1.0, ..Class::default() });
         }
         self.tenants.resize_with(tenants.max(1), || Tenant { tokens: 1.0, ..Tenant::default() });
         self.set = settings;
@@ -233,6 +236,7 @@
         let tenant = r.tenant.min(self.tenants.len() - 1);
         let c = &self.set.classes[class];
         let work = r.hint_us.map_or(self.classes[class].usual, |h| h as f64);
+        self.work += KEPT_GAIN * (work / SECOND as f64 - self.work);
         // Usual times are of workers of all speeds; the stretch counts work at speed 1: trust half.
         let slack = (c.aim_us as f64 + (c.stretch - 1.0) * work * 0.5).max(c.aim_us as f64 / 4.0);
         // Where late jobs spoil others' worth, a job that waits is refused surely inside its aim.
@@ -250,7 +254,7 @@
         let need = f64::min(r.slots.max(r.memory).max(1.0), CAP_MAX); // 1 for what is no number
         self.taken.add(self.now);
         let job = Job {
-            class, tenant, key: r.key, need, admitted: self.now, deadline, due: due.min(deadline), late,
+            class, tenant, key: r.key, work, need, admitted: self.now, deadline, due: due.min(deadline), late,
             ahead: self.ahead(class), most: self.set.max_attempts,
             ..Job::default()
         };
@@ -362,8 +366,7 @@
     }
 
     fn pick(&mut self, job: Job) -> Option<usize> {
-        let some = self.candidates(&job);
-        let scored = some.into_iter().filter_map(|i| self.score(&job, i).map(|s| (s, i)));
+        let scored = self.candidates(&job).into_iter().filter_map(|i| self.score(&job, i).map(|s| (s, i)));
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
 
@@ -372,7 +375,7 @@
         if self.set.origin_price > 0.0 { return self.open.clone(); }
         let bound = self.set.classes[job.class].semantics == Semantics::Keyed(Group::Cell);
         let mates = bound && job.may_run.is_some(); // few: a sample would miss them
-        if self.workers.len() <= ALL || mates { return (0..self.workers.len()).collect(); }
+        if self.workers.len() <= ALL || mates || self.shared() { return (0..self.workers.len()).collect(); }
         let (now, workers) = (self.now, &self.workers);
         let keep = if self.set.handshake_price > 0.0 { self.set.conn_idle_us } else { 0 };
         self.lately.retain(|&i| now < workers[i].used_at + keep || now < workers[i].free_at + FRESH);
@@ -398,6 +401,11 @@
         let chance = unit(self.rng.0 ^ w.id.0) * 0.02;
         let kept_away = |mark| self.judged.get(&(i, mark)).is_some_and(|p| self.now < p.0);
         if marks(job).any(kept_away) { return None; }
+        if self.shared() {
+            // By lot, for all see the same weights: the best of them would be flooded.
+            let lot = -unit(self.rng.0 ^ w.id.0 ^ self.now).ln() * (zone + link).exp();
+            return self.load(w, job).map(|load| lot * load * load);
+        }
         let load = self.load(w, job)? + if self.estimates() { 0.0 } else { w.crowd + f64::from(w.overdue) };
         Some(load * self.usually(w).0 + zone + link + self.fetch(job, w)? + chance)
     }
@@ -455,7 +463,8 @@
     fn load(&self, w: &Worker, job: &Job) -> Option<f64> {
         let waits = w.overdue > 0 && !w.silent && self.set.tells_start;
         let warmth = self.warmth(w);
-        let cold = warmth < 1.0 && (warmth < COLD_USEFUL || self.cold_credit(w, warmth) < 1.0);
+        let speed = if self.shared() { self.weights.speed(w.kind as usize) } else { 1.0 };
+        let cold = warmth < 1.0 && (warmth * speed < COLD_USEFUL || self.cold_credit(w, warmth) < 1.0);
         if waits || self.now < w.pause_until || cold { return None; }
         if w.silent || w.doubt > 0 {
             // Recovery by a trickle: one job at a time, and one that may be repeated if it is lost.
@@ -469,6 +478,14 @@
             let guess = (1.0 + then / w.cap.max(CAP_MIN)) / self.usually(w).1;
             return if !fresh { Some(guess) } else { Some(1.0 / (1.0 + w.free)).filter(|_| w.free >= 0.9) };
         }
+        if self.shared() {
+            // Where the worst-served class counts, the better served leave it the workers that are full.
+            let cores = self.weights.cores(w.kind as usize);
+            let worse = |i: usize| self.classes[i].kept + KEPT_GAIN < self.classes[job.class].kept;
+            let yields = self.set.worst_class_weight > 0.0 && self.offered().any(worse);
+            let load = (1.0 + w.there / cores) / (w.scale * warmth);
+            return Some(load).filter(|_| !yields || w.there + 0.5 <= cores * warmth);
+        }
         let load = then / w.cap.max(CAP_MIN);
         if !self.estimates() { return Some(load).filter(|&load| load <= 1.0 || w.held < 0.5); }
         // A job takes less sure a room the longer it has waited: reports are late, and others fill it too.
@@ -478,6 +495,9 @@
         Some(then / room.max(0.5)).filter(|_| then <= room + job.need * (ROOM_RISK + job.waited(self.now)))
     }
 
+    /// Many dispatchers: what one sees of a worker tells little of it, the list's live weights tell more.
+    fn shared(&self) -> bool { self.set.live_weights && self.set.siblings > ALL as u32 }
+
     fn estimates(&self) -> bool { self.set.reports_free && !self.set.tells_start && !self.asks() }
 
     fn warmth(&self, w: &Worker) -> f64 {
@@ -487,10 +507,12 @@
         r.cold_share + (1.0 - r.cold_share).max(0.0) * age as f64 / r.warm_up_us as f64
     }
 
-    /// All siblings send alike, so each keeps to its own usual rate, times warmth, times a safe multiple.
+    /// All siblings send alike: each keeps to its usual rate, or its part, times warmth and a safe multiple.
     fn cold_credit(&self, w: &Worker, warmth: f64) -> f64 {
         let r = &self.set.rules;
-        let per_s = self.served / self.scale.max(1e-9) * w.scale * warmth * r.fall_multiple * COLD_SAFETY;
+        let part = 1.0 / (self.work.max(1e-3) * f64::from(self.set.siblings));
+        let usual = if self.shared() { part } else { self.served / self.scale.max(1e-9) };
+        let per_s = usual * w.scale * warmth * r.fall_multiple * COLD_SAFETY;
         let dt = (self.now - w.credit_at) as f64 / SECOND as f64;
         (w.credit + per_s * dt).min((per_s * r.fall_us as f64 / SECOND as f64).max(1.0))
     }
@@ -505,6 +527,12 @@
         let doubts = worker.silent || worker.doubt > 0;
         (worker.credit, worker.credit_at) = (credit, now);
         (worker.held, worker.free, worker.used_at) = (worker.held + job.need, worker.free - job.need, now);
+        worker.there += job.need; // the next list counts it
+        if self.set.live_weights && self.set.siblings > ALL as u32 {
+            let (c, speed) = (&self.set.classes[job.class], self.weights.speed(worker.kind as usize));
+            let latest = c.aim_us + ((c.stretch - 1.0 / speed.max(0.1)).max(0.0) * job.work) as Time;
+            job.due = (job.admitted + latest).min(job.deadline);
+        }
         if doubts { worker.trial_at = now + worker.trial(); }
         if job.sent > 0 { self.further.add(now); }
         job.stage = Stage::Out;
@@ -523,9 +551,10 @@
         let job = &self.jobs[&id];
         if self.wordless(&job.attempt) { return WORD; }
         if self.set.tells_start && job.attempt.started == 0 {
-            // First it counts as waiting there, then, after a usual job's time, as lost.
+            // First it counts as waiting there, then, after a usual job's time or once it is late, as lost.
             let usual = self.classes[job.class].usual as Time;
-            return PROMPT.max(usual / 10) + if job.attempt.overdue { usual } else { 0 };
+            let wait = if self.shared() { job.due.saturating_sub(job.attempt.sent) } else { usual };
+            return PROMPT.max(usual / 10) + if job.attempt.overdue { wait } else { 0 };
         }
         match self.set.progress_us {
             0 => self.classes[job.class].usual as Time * RUN_SILENCE,
@@ -555,9 +584,10 @@
             return self.agenda.add(seen + wait, Due::Check { id, attempt });
         }
         let alone = self.workers[a.worker].life > seen;
-        let over = self.set.tells_start && (!alone || seen + 2 * patience <= self.now);
+        let waits = self.shared() && a.started == 0 && !wordless; // siblings' jobs are before it
+        let over = self.set.tells_start && !waits && (!alone || seen + 2 * patience <= self.now);
         if wordless { self.lose(id); } else if over { self.mute(id, alone); }
-        if !alone && !self.workers[a.worker].silent {
+        if !alone && !waits && !self.workers[a.worker].silent {
             let w = &mut self.workers[a.worker];
             (w.silent, w.trial_at) = (true, self.now + TRIAL);
             self.trace(Trace::Silent(self.workers[a.worker].id), out);
@@ -565,12 +595,12 @@
         if (self.now - job_admitted) as f64 > LATE_W * self.aim(class) { self.count(id, LATE_W); }
         // A job that may be repeated is called off and sent elsewhere while that still helps.
         let job = self.jobs[&id];
-        let lost = self.workers[a.worker].silent || job.attempt.lost || self.estimates();
+        let lost = self.workers[a.worker].silent || job.attempt.lost || waits || self.estimates();
         let again = self.set.cancelling && self.set.classes[class].semantics != Semantics::Unsafe;
         let again = again && lost && job.sent < job.most && self.may_try_again(1.0);
         let until = a.sent + self.set.classes[class].repeat_window_us;
         let there = Job { may_run: job.may_run.or(Some((a.worker, until))), ..job };
-        if again && (wordless || self.pick(there).is_some()) {
+        if again && (wordless || waits || self.pick(there).is_some()) {
             if let Some(job) = self.jobs.get_mut(&id) { job.attempt.cancelled = true; }
             return out.push(Action::Cancel { id, attempt });
         }
@@ -634,10 +664,9 @@
     fn learn_room(&mut self, w: usize, room: bool) {
         self.crowding(w, room);
         let worker = &mut self.workers[w];
-        let held = worker.held;
         if !room {
-            worker.cap = (worker.cap.min(held.max(CAP_MIN)) * CAP_DOWN).max(CAP_MIN);
-        } else if held + 1.0 >= worker.cap {
+            worker.cap = (worker.cap.min(worker.held.max(CAP_MIN)) * CAP_DOWN).max(CAP_MIN);
+        } else if worker.held + 1.0 >= worker.cap {
             worker.cap = (worker.cap + CAP_UP).min(CAP_MAX);
         }
     }
@@ -665,16 +694,15 @@
         if theirs { return; }
         self.learn_room(w, false);
         let worker = &mut self.workers[w];
-        worker.pause_until = pause(worker.crowd);
-        worker.free = worker.free.min(0.0);
+        (worker.pause_until, worker.free) = (pause(worker.crowd), worker.free.min(0.0));
     }
 
     /// Guards against requests that fail wherever they go, or bring workers down: those that share a key (or
     /// class, or tenant) which failed at several workers and was not served since, while others were. They
     /// are answered at once but for trials. May hurt: a rare key lost beside a bad one waits for its trial.
     fn blame(&mut self, job: &Job, crash: bool) -> bool {
-        let (now, w, others) = (self.now, job.attempt.worker, self.served + self.served_now >= 1.0);
-        let mut theirs = false;
+        let (now, w, mut theirs) = (self.now, job.attempt.worker, false);
+        let others = self.served + self.served_now >= 1.0;
         for mark in marks(job) {
             // Jobs lost at one moment are one sign: for a class or tenant also those at several workers.
             let gap = if mark.0 > 0 { TRIAL } else { 0 };
@@ -764,7 +792,7 @@
         let (job, a, class) = (*job, job.attempt, job.class);
         let (w, usual) = (a.worker, self.classes[class].usual);
         let last = &mut self.workers[w];
-        last.overdue -= u32::from(a.overdue);
+        (last.overdue, last.there) = (last.overdue - u32::from(a.overdue), (last.there - job.need).max(0.0));
         (last.held, last.used_at) = (last.held - if a.lost { 0.0 } else { job.need }, self.now);
         // Guards against tables filled by many dispatchers' idle connections, where new ones cost nothing.
         let many = self.set.handshake_price <= 0.0 && self.set.siblings > ALL as u32;
@@ -805,15 +833,14 @@
         let from = if a.started > 0 { a.started } else { a.sent };
         let run = (self.now - from).max(1) as f64;
         let c = &mut self.classes[class];
-        c.samples += 1.0;
+        (c.samples, c.kept) = (c.samples + 1.0, c.kept + KEPT_GAIN * (1.0 - c.kept));
         let step = (1.0 / c.samples).max(0.03);
         c.long *= if run > c.long { 1.0 + 49.0 * LONG_GAIN } else { 1.0 - LONG_GAIN };
         c.usual *= if run > c.usual { 1.0 + step } else { 1.0 / (1.0 + step) };
         let usual = c.usual;
-        let ratio = (run / usual).clamp(0.3, 3.0);
-        let worker = &mut self.workers[w];
+        let (ratio, worker) = ((run / usual).clamp(0.3, 3.0), &mut self.workers[w]);
         worker.slow += 0.1 * (ratio - worker.slow);
-        let kind = &mut self.kinds[self.workers[w].kind as usize];
+        let kind = &mut self.kinds[worker.kind as usize];
         kind.1 += 1.0; // the first guess counts for a job
         kind.0 += (1.0 / (kind.1 + 1.0)).max(0.03) * (ratio - kind.0);
         if self.set.tells_start { return; }
@@ -871,6 +898,7 @@
         if self.jobs.get(&id).is_some_and(|j| j.stage != Stage::Queued) { self.count(id, LATE_W); }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.waiting.remove(&rank(&job, id));
+        self.classes[job.class].kept *= 1.0 - KEPT_GAIN;
         let c = &self.set.classes[job.class];
         let any = matches!(c.semantics, Semantics::Safe | Semantics::Keyed(Group::All));
         // Where late answers earn nothing, a wait can only make the repeat end later, past its aim.
@@ -891,7 +919,7 @@
     }
 
     fn list(&mut self, entries: &[WorkerEntry], full: bool) {
-        let (soft, now) = (self.set.rules.soft_removal, self.now);
+        let (soft, now, shared) = (self.set.rules.soft_removal, self.now, self.shared());
         if full { self.workers.iter_mut().for_each(|w| w.unlist(soft, now)); }
         for e in entries {
             self.kinds.resize(self.kinds.len().max(e.kind as usize + 1), (1.0, 0.0, 1.0));
@@ -913,6 +941,7 @@
                 Availability::Gone => w.unlist(soft, now),
             }
             w.scale = if e.scale.is_finite() && e.scale > 0.0 { e.scale } else { 1.0 };
+            if shared { (w.there, w.scale) = self.weights.learn(e.kind as usize, w.scale); }
         }
         (self.near, self.far, self.scale) = Default::default();
         for (i, w) in self.workers.iter().enumerate().filter(|(_, w)| w.ready) {
@@ -924,8 +953,8 @@
     /// Guards against a list that grows stale unseen: a failed call is made again until one holds.
     fn list_failed(&mut self, out: &mut Vec<Action>) {
         let wait = (self.set.rules.ask_every_us / 20).clamp(SECOND / 10, SECOND);
-        let phase = self.rng.below(wait);
-        self.plan(wait / 2 + phase, Due::Watch);
+        let after = wait / 2 + self.rng.below(wait);
+        self.plan(after, Due::Watch);
         self.trace(Trace::ListFailed, out);
     }
 
@@ -985,9 +1014,8 @@
     /// Tells a few siblings the tenants' rates here, two bytes each, in 64ths of a job a second. All tell as
     /// many, so that the sample is fair.
     fn tell(&mut self, out: &mut Vec<Action>) {
-        let n = self.set.siblings;
+        let (n, bytes) = (self.set.siblings, pack(self.tenants.iter().map(|t| t.rate)));
         if !self.set.peers || n < 2 || self.set.tenants.is_empty() { return; }
-        let bytes = pack(self.tenants.iter().map(|t| t.rate));
         let mean = self.set.tenants.iter().map(|t| t.quota_per_s).sum::<f64>() / f64::from(n);
         let price = self.set.peer_price * bytes.len() as f64 / 256.0;
         let few = ((TELL_PRICE * mean / price.max(1e-9)) as u32).clamp(1, TELL_MAX);
@@ -1010,9 +1038,8 @@
 
     fn count(&mut self, id: RequestId, w: f64) {
         let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.counted) else { return };
-        job.counted = true;
-        self.classes[job.class].w_sum += w;
-        self.classes[job.class].w_count += 1;
+        let c = &mut self.classes[job.class];
+        (job.counted, c.w_sum, c.w_count) = (true, c.w_sum + w, c.w_count + 1);
     }
 
     fn timer(&mut self, out: &mut Vec<Action>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -182,6 +182,7 @@
         probes: p.flag("Limits.Probes", false)?,
         reports_free: fields.contains(&Field::FreeSlots),
         list_asked: p.text("Discovery") == "ask",
+        live_weights: p.text("Weights") == "live",
         tells_taken: false, // the embedder's to say
         tells_start: p.flag("FamilyInfo.TellsStart", false)?,
         progress_us: p.span("FamilyInfo.ProgressUs", 0)?,
@@ -192,6 +193,7 @@
         conn_idle_us: p.span("Limits.ConnIdleUs", 0)?,
         tail_slack: p.number("Goal.TailSlack", 0.0)?,
         tail_weight: p.number("Goal.KeptPromises", 0.0)?,
+        worst_class_weight: p.number("Goal.WorstClass", 0.0)?,
         over_share_worth: p.number("OverShareWorth", 1.0)?,
         resolution_us: p.span("ResolutionUs", 1000)?.max(1),
         rules: Rules {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -799,3 +799,97 @@
     assert!(actions.iter().all(|a| !matches!(a, Action::Send { worker: WorkerId(9), .. })));
     assert!(d.pass(5 * S).iter().all(|a| !matches!(a, Action::Refuse { id: 2, .. })));
 }
+
+/// A fleet so large that what one dispatcher sees of a worker tells little; two kinds, of sizes 6 and 2.
+fn vast(classes: Vec<ClassSettings>) -> (Settings, Vec<WorkerEntry>) {
+    let of = |i: u64, kind: u8, scale: f64| WorkerEntry { kind, scale, ..worker(i, 0, 0) };
+    // Both kinds are seen idle, with one request and with two: five cores of speed 1.2, two of speed 1.
+    let seen = [(0, 6.0), (0, 5.0), (0, 6.0 / 1.4), (1, 2.0), (1, 2.0 / 1.5), (1, 1.0)];
+    let list = seen.iter().enumerate().map(|(i, (kind, scale))| of(i as u64 + 1, *kind, *scale)).collect();
+    (Settings { live_weights: true, siblings: 100, worst_class_weight: 0.3, ..settings(classes) }, list)
+}
+
+/// Guards against a fleet whose nodes, each alone, use all workers alike: the small ones are flooded.
+#[test]
+fn many_dispatchers_send_by_what_the_list_tells_is_free() {
+    let (settings, list) = vast(vec![class(Semantics::Safe)]);
+    let mut d = Desk::new(settings, list);
+    let mut got = [0; 7];
+    for id in 1..=600 {
+        let Some(WorkerId(w)) = d.serve(id, 0) else { continue };
+        got[w as usize] += 1;
+    }
+    assert!(got[1] > got[2] && got[2] > got[3], "{got:?}: the fuller, the fewer");
+    assert!(got[4] > got[5] && got[5] > got[6], "{got:?}");
+    assert!(got[1] > 4 * got[4], "{got:?}: by size");
+    assert!(got[4] > 0, "{got:?}: by lot, not all to the best");
+}
+
+/// Guards against a whole fleet that gives a busy worker up: where siblings' jobs are before it, a job that was
+/// taken waits for as long as it can be in time, and its worker is not held to be silent.
+#[test]
+fn a_job_queued_in_a_large_fleet_waits_until_it_is_late() {
+    let (settings, list) = vast(vec![class(Semantics::Safe)]);
+    let mut d = Desk::new(Settings { tells_taken: true, ..settings }, list[..1].to_vec());
+    let ask = |id| Request { id, class: 0, left_us: 5 * S, hint_us: Some(S), ..Request::default() };
+    assert_eq!(sent(&d.tell(Event::Accept(ask(1))), 1), Some(WorkerId(1)));
+    assert!(d.tell(Event::Taken { id: 1, attempt: 0 }).is_empty());
+    // It may start 0.2 s + 2 s - 1 s after it came: its worker runs at the usual speed, for all that is known.
+    assert!(d.pass(1100 * MS).is_empty());
+    assert_eq!(d.pass(300 * MS), [Action::Cancel { id: 1, attempt: 0 }]);
+    assert!(refused(&d.ended(1, 0, Outcome::Cancelled), 1));
+    assert_eq!(sent(&d.accept(2, 0), 2), Some(WorkerId(1)), "the worker is trusted");
+}
+
+/// Guards the class that is served worst: the better served one leaves it the workers that are full.
+#[test]
+fn the_better_served_class_waits_for_room_in_a_large_fleet() {
+    let (settings, list) = vast(vec![class(Semantics::Safe), class(Semantics::Safe)]);
+    let full: Vec<WorkerEntry> =
+        list.iter().map(|e| WorkerEntry { scale: e.scale.min(0.5), ..e.clone() }).collect();
+    let run = |lost: bool, weight: f64| {
+        let mut d = Desk::new(Settings { worst_class_weight: weight, ..settings.clone() }, list.clone());
+        if lost {
+            // The second class's job waits too long at its worker, several times.
+            for id in 1..=5 {
+                d.accept(id, 1);
+                d.pass(600 * MS);
+                d.ended(id, 0, Outcome::Cancelled);
+            }
+        }
+        d.tell(Event::FullList(full.clone()));
+        (sent(&d.accept(11, 0), 11).is_some(), sent(&d.accept(12, 1), 12).is_some())
+    };
+    assert_eq!(run(false, 0.3), (true, true));
+    assert_eq!(run(true, 0.3), (false, true));
+    assert_eq!(run(true, 0.0), (true, true), "where the worst class counts for nothing");
+}
+
+/// Guards against a cold worker that stands idle, or falls over, whatever a thin stream of jobs at one dispatcher
+/// tells: all siblings' parts together stay within what it can surely do.
+#[test]
+fn a_cold_worker_gets_a_part_of_what_it_can_do_from_all_dispatchers_together() {
+    let (settings, mut list) = vast(vec![class(Semantics::Safe)]);
+    let mut all = 0;
+    for seed in 0..100 {
+        let mut d = Desk::new(settings.clone(), vec![]);
+        d.policy = dewlever::Policy::new(settings.clone(), seed, S).unwrap();
+        list.iter_mut().for_each(|e| e.since = S);
+        d.tell(Event::FullList(list.clone()));
+        // Jobs of 1 s come so often that no credit stays unused; the first may start after some seconds.
+        for id in 1..=60 {
+            let left_us = 5 * S;
+            let ask = Request { id, class: 0, left_us, hint_us: Some(S), ..Request::default() };
+            let mut out = d.tell(Event::Accept(ask));
+            out.extend(d.pass(100 * MS));
+            if let Some(_worker) = sent(&out, id) {
+                all += 1;
+                d.tell(Event::Started { id, attempt: 0 });
+                d.ended(id, 0, Outcome::Ok);
+            }
+        }
+    }
+    // In 6 s: six workers of size 24 in all, at 0.2 to 0.44 of it; three times that would break the rule.
+    let sure = 24.0 * 0.32 * 6.0;
+    assert!(f64::from(all) > 0.3 * sure && f64::from(all) < 1.5 * sure, "{all} of {sure}");
+}
