Make a doubted worker's trials seldomer the more nodes there are; let watches wait 20 s

Cause: (policy.rs) each of 100 nodes makes trials of its own of each doubted worker, every 4.8 s at most, and load() put a trial before all other workers; with a third of the list gone each node's next job was a trial. Now the wait is longer by the siblings over 32, and in a large fleet a trial comes by lot. A watch now waits 20 s, as the protocol's example does. The test fails without its part.

--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -22,14 +22,15 @@
 
 /// A list of some thousand workers.
 const BODY_MAX: usize = 4 << 20;
-/// For which a watch waits; a change unheard counts as told 2 s after that.
-const WAIT: Duration = Duration::from_secs(5);
+/// For which a watch waits; a change unheard counts as told 2 s after that. Long, for a watch that ends while
+/// discovery is overbooked is a call more that it has to answer.
+const WAIT: Duration = Duration::from_secs(20);
 /// Beyond the wait, before a silent call is given up and made anew.
 const SILENCE: Duration = Duration::from_millis(1500);
 /// Between calls after a failure; within 200 ms the watch goes on.
 const PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after calls that discovery turned away, which says that it is asked too much.
-const PAUSE_MAX: Duration = Duration::from_secs(5);
+const PAUSE_MAX: Duration = Duration::from_secs(3);
 
 /// Brings the worker list to the pool and the core.
 pub struct Lists {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -470,7 +470,8 @@
             // Recovery by a trickle: one job at a time, and one that may be repeated if it is lost.
             let none_safe = self.offered().all(|i| self.set.classes[i].semantics != Semantics::Safe);
             let repeatable = self.set.classes[job.class].semantics == Semantics::Safe || none_safe;
-            return Some(0.0).filter(|_| repeatable && w.held < 0.5 && self.now >= w.trial_at);
+            let load = if self.shared() { 1.0 / w.scale.max(0.1) } else { 0.0 }; // else trials come first
+            return Some(load).filter(|_| repeatable && w.held < 0.5 && self.now >= w.trial_at);
         }
         let then = w.held + job.need;
         if self.asks() {
@@ -498,6 +499,9 @@
     /// Many dispatchers: what one sees of a worker tells little of it, the list's live weights tell more.
     fn shared(&self) -> bool { self.set.live_weights && self.set.siblings > ALL as u32 }
 
+    /// All siblings try a doubted worker alike: the more there are, the seldomer each does.
+    fn seldom(&self) -> Time { (Time::from(self.set.siblings) / ALL as Time).max(1) }
+
     fn estimates(&self) -> bool { self.set.reports_free && !self.set.tells_start && !self.asks() }
 
     fn warmth(&self, w: &Worker) -> f64 {
@@ -521,7 +525,7 @@
         let warmth = self.warmth(&self.workers[w]);
         let credit = if warmth < 1.0 { self.cold_credit(&self.workers[w], warmth) - 1.0 } else { 0.0 };
         self.waiting.remove(&key);
-        let now = self.now;
+        let (now, seldom) = (self.now, self.seldom());
         let Some(job) = self.jobs.get_mut(&key.2) else { return };
         let worker = &mut self.workers[w];
         let doubts = worker.silent || worker.doubt > 0;
@@ -533,7 +537,7 @@
             let latest = c.aim_us + ((c.stretch - 1.0 / speed.max(0.1)).max(0.0) * job.work) as Time;
             job.due = (job.admitted + latest).min(job.deadline);
         }
-        if doubts { worker.trial_at = now + worker.trial(); }
+        if doubts { worker.trial_at = now + worker.trial() * seldom; }
         if job.sent > 0 { self.further.add(now); }
         job.stage = Stage::Out;
         job.attempt = Attempt { worker: w, sent: now, progressed: now, ..Attempt::default() };
@@ -744,9 +748,9 @@
 
     /// Guards against workers that fail quickly, whatever the cause: more jobs come as trials only.
     fn doubt(&mut self, w: usize, out: &mut Vec<Action>) {
-        let worker = &mut self.workers[w];
+        let (seldom, worker) = (self.seldom(), &mut self.workers[w]);
         worker.doubt = (worker.doubt + 2).min(DOUBT_MAX);
-        worker.trial_at = self.now + worker.trial();
+        worker.trial_at = self.now + worker.trial() * seldom;
         self.trace(Trace::Erring(self.workers[w].id), out);
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -893,3 +893,28 @@
     let sure = 24.0 * 0.32 * 6.0;
     assert!(f64::from(all) > 0.3 * sure && f64::from(all) < 1.5 * sure, "{all} of {sure}");
 }
+
+/// Guards against trials that are few at each node and many together: a doubted worker's next one comes the later
+/// the more dispatchers there are, and goes by lot where others have room.
+#[test]
+fn the_more_dispatchers_the_fewer_trials_each_makes() {
+    let trials = |siblings: u32| {
+        let (settings, list) = vast(vec![class(Semantics::Safe)]);
+        let mut d = Desk::new(Settings { siblings, ..settings }, list);
+        let (mut id, mut count) = (0, 0);
+        while d.now < 40 * S {
+            id += 1;
+            let Some(w) = sent(&d.accept(id, 0), id) else { continue };
+            let bad = w == WorkerId(1);
+            count += u32::from(bad);
+            if !bad {
+                d.tell(Event::Started { id, attempt: 0 });
+            }
+            d.ended(id, 0, if bad { Outcome::ConnectFailed } else { Outcome::Ok });
+            d.pass(75 * MS);
+        }
+        count
+    };
+    let (few, many) = (trials(33), trials(330));
+    assert!(few >= 4 && many >= 1 && many <= few / 2, "{few} {many}");
+}
