Add the fleet crate: SWIM over sealed messages without I/O, and undo a circle of imports

Need: nodes that know of each other. The crate wraps foca: names, incarnations, leaving on purpose, HMAC seals with a current and a previous key, sessions proven by challenge so that nothing can be played back, contact with the dead and with seeds, whole states, two processes of one name, a process that stood still. The module's settings tell apart siblings that are there and the most that may be sending; with no fleet both are the number in the settings, as before. Names and list entries have a home of their own below configuration and fronts.

--- /dev/null
+++ b/fleet/src/machine.rs
@@ -0,0 +1,981 @@
+//! The machine: SWIM below, and over it sealed messages, names, comings and goings. It has no I/O: what comes in and the
+//! time go in, actions come out.
+
+use crate::codec::{Sightings, Watchful};
+use crate::exchange::{Asked, State, FRAME_MAX, MEMBERS_MAX};
+use crate::keys::Keys;
+use crate::member::{millis, Identity, Line, Phase, Status, View};
+use crate::packet::{hash, pack, unpack, Bad, Body, Packet, DATAGRAM_MAX, GOSSIP_MAX, RATES_MAX};
+use crate::session::{Sessions, Verdict};
+use crate::stand::{Others, Stand};
+use foca::{Foca, Member, NoCustomBroadcast, Notification, PeriodicParams};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+/// Members asked in place of one that gave no answer, and told at once of news.
+const HELPERS: NonZeroUsize = NonZeroUsize::new(3).expect("above zero");
+/// Between two rounds of news, while there are any.
+const NEWS_EVERY: Duration = Duration::from_millis(200);
+/// A timer that is later than this was held up by the process, not by the fleet: what others did not answer meanwhile
+/// is not held against them.
+const STALL: Duration = Duration::from_millis(500);
+/// Between two exchanges of whole states that this node begins.
+const EXCHANGE_GAP: Duration = Duration::from_secs(3);
+/// For which two views may differ before they are exchanged whole: news take their time.
+const DIFFER: Duration = Duration::from_secs(3);
+/// Messages that are kept for a receiver that may challenge them, and for how long.
+const KEPT: usize = 64;
+const KEPT_FOR: Duration = Duration::from_secs(2);
+/// Proofs given in a second at most: each answers a challenge, which may be played back.
+const PROOFS: u32 = 200;
+/// Questions to a process of the same name before it is held to be gone.
+const RIVAL_ASKED: u32 = 4;
+
+/// How often and for how long.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Timing {
+    /// Between two probes of this node; each is of one member.
+    pub probe: Duration,
+    /// For a member's own answer, before others are asked to reach it.
+    pub answer: Duration,
+    /// For a suspected member to refute that, before it is held dead.
+    pub suspicion: Duration,
+    /// Between two calls at a member held dead, and at a seed that is not in the view.
+    pub contact: Duration,
+    /// After which a dead name, or one that left, is forgotten.
+    pub forget: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            probe: Duration::from_secs(1),
+            answer: Duration::from_millis(300),
+            suspicion: Duration::from_secs(4),
+            contact: Duration::from_secs(1),
+            forget: Duration::from_secs(24 * 3600),
+        }
+    }
+}
+
+/// What a machine is told at its start.
+#[derive(Clone)]
+pub struct Config {
+    /// The fleet's name.
+    pub fleet: String,
+    /// The node's name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where others reach it.
+    pub advertise: SocketAddr,
+    /// Nodes to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// The key of the fleet.
+    pub keys: Keys,
+    /// How often and for how long.
+    pub timing: Timing,
+}
+
+/// What is new with each start.
+#[derive(Clone, Copy, Debug)]
+pub struct Birth {
+    /// Drawn at random: tells this process from every other.
+    pub boot: u64,
+    /// Unix time, in milliseconds. A clock that was set back costs a moment, not the place: see the incarnation.
+    pub unix_ms: u64,
+    /// For random numbers; nobody else may know it.
+    pub seed: u64,
+}
+
+/// What the embedder is to do.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What.
+        bytes: Vec<u8>,
+    },
+    /// Exchange whole states over a stream: see [`Machine::ask_state`].
+    Exchange {
+        /// With whom.
+        to: SocketAddr,
+    },
+    /// Rates of tenants that another node tells, by a hash of their names, in 64ths of a job a second.
+    Rates {
+        /// That node.
+        from: String,
+        /// Its rates.
+        rates: Vec<(u64, u16)>,
+    },
+    /// Tell on-call staff.
+    Note(Note),
+}
+
+/// A change worth a record.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A member is there: new, again, or with another phase.
+    Up(Identity),
+    /// A member is held dead.
+    Down(Identity),
+    /// A member left on purpose.
+    Left(Identity),
+    /// A member that was dead or had left is forgotten.
+    Forgotten(String),
+    /// This node was held dead, or its name was, and is back under this incarnation.
+    Returned(u64),
+    /// Another process has this node's name and counts: this one keeps out of the view.
+    Yielded(Identity),
+    /// Another process has this node's name; it ought to yield.
+    Rival(Identity),
+}
+
+/// Why datagrams were refused, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Longer than any that a node sends.
+    pub oversized: u64,
+    /// Of another version.
+    pub version: u64,
+    /// Not sealed with one of the keys.
+    pub seal: u64,
+    /// Sealed, but not to be read.
+    pub malformed: u64,
+    /// Of another fleet, or for another node.
+    pub astray: u64,
+    /// Came before, or too old to tell.
+    pub replayed: u64,
+    /// From a process that has yet to show that it is there.
+    pub unproven: u64,
+}
+
+/// Counters of one machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Datagrams taken in.
+    pub received: u64,
+    /// Their bytes.
+    pub received_bytes: u64,
+    /// Datagrams refused.
+    pub refused: Refused,
+    /// Whole states taken in.
+    pub states: u64,
+    /// Members that were held dead.
+    pub deaths: u64,
+    /// How often this node was held dead and came back.
+    pub returns: u64,
+    /// Entries of the tables that guard against replays.
+    pub sessions: u64,
+}
+
+enum Timer {
+    Foca(foca::Timer<Identity>),
+    Contact,
+    /// It was held dead: time for a word on who else may have its name is over.
+    Return,
+}
+
+/// What `foca` wants done, until the machine gets to it.
+#[derive(Default)]
+struct Wishes {
+    sends: VecDeque<(Identity, Vec<u8>)>,
+    timers: Vec<(foca::Timer<Identity>, Duration)>,
+    changed: bool,
+    defunct: bool,
+}
+
+impl foca::Runtime<Identity> for &mut Wishes {
+    fn notify(&mut self, notification: Notification<'_, Identity>) {
+        self.changed = true;
+        self.defunct |= notification == Notification::Defunct;
+    }
+
+    fn send_to(&mut self, to: Identity, data: &[u8]) {
+        self.sends.push_back((to, data.to_vec()));
+    }
+
+    fn submit_after(&mut self, event: foca::Timer<Identity>, after: Duration) {
+        self.timers.push((event, after));
+    }
+}
+
+struct Known {
+    identity: Identity,
+    status: Status,
+    since: Duration,
+}
+
+/// Another process with this node's name that would count: is it there?
+struct Check {
+    rival: Identity,
+    asked: u32,
+}
+
+#[derive(PartialEq)]
+enum Standing {
+    In,
+    /// Held dead; it waits a moment before it comes back.
+    Undead,
+    /// Another process of its name is there.
+    Yielded(Identity),
+    Left,
+}
+
+/// One node's part in the fleet.
+pub struct Machine {
+    config: Config,
+    boot: u64,
+    fleet: u64,
+    foca: Foca<Identity, Watchful, SmallRng, NoCustomBroadcast>,
+    sightings: Sightings,
+    rng: SmallRng,
+    wishes: Wishes,
+    actions: VecDeque<Action>,
+    timers: BTreeMap<(Duration, u64), Timer>,
+    order: u64,
+    skipped: Duration,
+    sessions: Sessions,
+    number: u64,
+    kept: VecDeque<(SocketAddr, Duration, Body)>,
+    proofs: (Duration, u32),
+    known: BTreeMap<String, Known>,
+    ages: BTreeMap<String, Duration>, // of those that a state tells as dead, while it is taken in
+    joined: bool,
+    digest: u64,
+    changed_at: Duration,
+    differs: Option<Duration>,
+    exchange_from: Duration,
+    standing: Standing,
+    check: Option<Check>,
+    rival_told: Duration,
+    figures: Figures,
+}
+
+fn swim(timing: &Timing, members: usize) -> foca::Config {
+    // News reach all with this many tellings of each, by a margin that grows with the fleet's logarithm.
+    let tellings = 4 + 3 * (usize::BITS - members.leading_zeros());
+    foca::Config {
+        probe_period: timing.probe,
+        probe_rtt: timing.answer,
+        num_indirect_probes: HELPERS,
+        max_transmissions: NonZeroU8::new(tellings.min(60) as u8).unwrap_or(NonZeroU8::MAX),
+        suspect_to_down_after: timing.suspicion,
+        remove_down_after: Some(timing.forget),
+        max_packet_size: NonZeroUsize::new(GOSSIP_MAX).unwrap_or(NonZeroUsize::MAX),
+        notify_down_members: true,
+        periodic_announce: None,
+        periodic_announce_to_down_members: None,
+        periodic_gossip: Some(PeriodicParams { frequency: NEWS_EVERY, num_members: HELPERS }),
+    }
+}
+
+impl Machine {
+    /// A node that has just started, at `now` on a clock that only runs forward.
+    pub fn new(config: Config, birth: Birth, now: Duration) -> Machine {
+        let mut rng = SmallRng::seed_from_u64(birth.seed);
+        let own = Identity {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            address: config.advertise,
+            boot: birth.boot,
+            incarnation: birth.unix_ms,
+            phase: Phase::Serving,
+        };
+        let sightings = Sightings::default();
+        let codec =
+            Watchful { name: config.name.clone(), boot: birth.boot, sightings: sightings.clone() };
+        let foca_rng = SmallRng::seed_from_u64(rng.random());
+        let mut machine = Machine {
+            boot: birth.boot,
+            fleet: hash(&config.fleet),
+            foca: Foca::new(own, swim(&config.timing, 1), foca_rng, codec),
+            sightings,
+            rng,
+            wishes: Wishes::default(),
+            actions: VecDeque::new(),
+            timers: BTreeMap::new(),
+            order: 0,
+            skipped: Duration::ZERO,
+            sessions: Sessions::default(),
+            number: 0,
+            kept: VecDeque::new(),
+            proofs: (now, 0),
+            known: BTreeMap::new(),
+            ages: BTreeMap::new(),
+            joined: false,
+            digest: 0,
+            changed_at: now,
+            differs: None,
+            exchange_from: now,
+            standing: Standing::In,
+            check: None,
+            rival_told: now,
+            figures: Figures::default(),
+            config,
+        };
+        machine.digest = machine.digest_now();
+        machine.plan(now, Timer::Contact, Duration::ZERO);
+        machine
+    }
+
+    /// The next thing to do, if there is one.
+    pub fn action(&mut self) -> Option<Action> {
+        self.actions.pop_front()
+    }
+
+    /// When [`Machine::tick`] is due next.
+    pub fn due(&self) -> Duration {
+        // There always is a timer: contact never ends.
+        self.timers.keys().next().map_or(Duration::MAX, |(at, _)| *at + self.skipped)
+    }
+
+    /// The keys from here on.
+    pub fn keys(&mut self, keys: Keys) {
+        self.config.keys = keys;
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        let now = self.clock(now);
+        while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                // An error here is a probe that the process itself held up; the next one goes on.
+                Timer::Foca(timer) => drop(self.foca.handle_timer(timer, &mut self.wishes)),
+                Timer::Contact => self.contact(now),
+                Timer::Return if self.standing == Standing::Undead && self.check.is_none() => {
+                    self.come_back(now, 0)
+                }
+                Timer::Return => {}
+            }
+            self.settle(now);
+        }
+    }
+
+    /// Takes a datagram in, whatever it holds.
+    pub fn datagram(&mut self, now: Duration, bytes: &[u8]) {
+        let now = self.clock(now);
+        let packet: Packet = match unpack(&self.config.keys, bytes, DATAGRAM_MAX) {
+            Ok(packet) => packet,
+            Err(bad) => return self.refuse(bad),
+        };
+        if packet.fleet != self.fleet || packet.to != self.config.advertise || packet.boot == self.boot {
+            self.figures.refused.astray += 1;
+            return;
+        }
+        let Packet { boot, from, number, body, .. } = packet;
+        match body {
+            Body::Challenge(nonce) => self.prove(now, from, nonce),
+            Body::Proof(nonce, again) => {
+                if self.sessions.prove(now, boot, number, nonce) {
+                    if let Some(body) = again {
+                        self.hear(now, boot, from, *body, bytes.len());
+                    }
+                } else {
+                    self.figures.refused.replayed += 1;
+                }
+            }
+            body => {
+                let rng = &mut self.rng;
+                match self.sessions.hear(now, boot, number, || rng.random()) {
+                    Verdict::Fresh => self.hear(now, boot, from, body, bytes.len()),
+                    Verdict::Replayed => self.figures.refused.replayed += 1,
+                    Verdict::Challenge(nonce) => {
+                        self.figures.refused.unproven += 1;
+                        self.send(now, from, Body::Challenge(nonce));
+                    }
+                    Verdict::Wait => self.figures.refused.unproven += 1,
+                }
+            }
+        }
+        self.settle(now);
+    }
+
+    /// The node takes jobs, or sends its clients away.
+    pub fn phase(&mut self, now: Duration, draining: bool) {
+        let now = self.clock(now);
+        let phase = if draining { Phase::Draining } else { Phase::Serving };
+        if self.standing == Standing::Left || self.foca.identity().phase == phase {
+            return;
+        }
+        let own = self.foca.identity().clone();
+        let next = Identity { phase, incarnation: own.incarnation + 1, ..own };
+        self.become_identity(now, next);
+    }
+
+    /// The node has answered all that it had and sends nothing more: it says so, once, and keeps silent.
+    pub fn leave(&mut self, now: Duration) {
+        let now = self.clock(now);
+        if self.standing == Standing::In {
+            let own = self.foca.identity().clone();
+            let last = Identity { phase: Phase::Left, incarnation: own.incarnation + 1, ..own };
+            self.become_identity(now, last);
+            self.standing = Standing::Left;
+            // Each is to three members: one lost datagram must not turn a leave into a crash.
+            let _ = self.foca.leave_cluster(&mut self.wishes);
+            let _ = self.foca.gossip(&mut self.wishes);
+        }
+        self.standing = Standing::Left;
+        self.settle(now);
+    }
+
+    /// This process stood aside for another of its node, which has ended: it takes its place in the view again.
+    pub fn resume(&mut self, now: Duration) {
+        let now = self.clock(now);
+        if self.standing != Standing::Left {
+            self.come_back(now, 0);
+        }
+        self.settle(now);
+    }
+
+    /// Tells another node the rates of tenants here; one that is not there hears nothing.
+    pub fn tell(&mut self, now: Duration, to: &str, mut rates: Vec<(u64, u16)>) {
+        let now = self.clock(now);
+        let to = self.known.get(to).filter(|k| k.status.there()).map(|k| k.identity.address);
+        if let Some(to) = to.filter(|_| self.standing == Standing::In) {
+            rates.truncate(RATES_MAX);
+            self.send(now, to, Body::Rates(self.config.name.clone(), rates));
+        }
+    }
+
+    /// Counters.
+    pub fn figures(&self) -> Figures {
+        Figures { sessions: self.sessions.len() as u64, ..self.figures }
+    }
+
+    /// The view as of now.
+    pub fn view(&self, now: Duration) -> View {
+        let now = now.saturating_sub(self.skipped);
+        let own = self.foca.identity();
+        let mut members: Vec<Line> = Vec::with_capacity(self.known.len() + 1);
+        for m in self.foca.iter_membership_state() {
+            let status = status(m);
+            let since = self.known.get(&m.id().name).map_or(now, |k| k.since);
+            members.push(line(m.id(), status, now.saturating_sub(since)));
+        }
+        let mine = match (&self.standing, own.phase) {
+            (Standing::Left, _) => Status::Left,
+            (Standing::Undead, _) => Status::Dead,
+            (_, Phase::Draining) => Status::Draining,
+            _ => Status::Alive,
+        };
+        members.retain(|m| m.name != own.name);
+        if !matches!(self.standing, Standing::Yielded(_)) {
+            members.push(line(own, mine, Duration::ZERO));
+        }
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        let yielded_to = match &self.standing {
+            Standing::Yielded(rival) => Some(rival.address),
+            _ => None,
+        };
+        View {
+            fleet: self.config.fleet.clone(),
+            node: self.config.name.clone(),
+            incarnation: own.incarnation,
+            yielded_to,
+            joined: self.joined,
+            members,
+        }
+    }
+
+    /// What the decisions are told; `planned` is the number of nodes in the settings.
+    pub fn stand(&self, now: Duration, planned: u32) -> Stand {
+        let now = now.saturating_sub(self.skipped);
+        let lines: Vec<Line> =
+            self.known.values().map(|k| line(&k.identity, k.status, now.saturating_sub(k.since))).collect();
+        let joined = self.joined && !matches!(self.standing, Standing::Yielded(_));
+        Stand::of(&self.config.name, &Others { lines: &lines, joined }, planned)
+    }
+
+    /// The number that another node has to return with its whole state.
+    pub fn challenge(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    /// This node's whole state, for the one at `to` that sent this number over a stream.
+    pub fn ask_state(&mut self, now: Duration, to: SocketAddr, challenge: u64) -> (Asked, Vec<u8>) {
+        let now = self.clock(now);
+        let nonce = self.rng.random();
+        (Asked { nonce }, self.state(now, to, challenge, nonce))
+    }
+
+    /// Takes the whole state of the one that was sent this number in, and returns this node's own; `None` where it does
+    /// not count.
+    pub fn answer_state(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<Vec<u8>> {
+        let now = self.clock(now);
+        let (to, nonce) = self.take(now, challenge, bytes)?;
+        let answer = self.state(now, to, nonce, 0);
+        self.settle(now);
+        Some(answer)
+    }
+
+    /// Takes the answer in; whether it counts.
+    pub fn take_state(&mut self, now: Duration, asked: Asked, bytes: &[u8]) -> bool {
+        let now = self.clock(now);
+        let taken = self.take(now, asked.nonce, bytes).is_some();
+        self.settle(now);
+        taken
+    }
+
+    fn state(&self, now: Duration, to: SocketAddr, answers: u64, nonce: u64) -> Vec<u8> {
+        let age = |m: &Member<Identity>| match self.known.get(&m.id().name) {
+            Some(k) if !k.status.there() => millis(now.saturating_sub(k.since)),
+            _ => 0,
+        };
+        let members = self.foca.iter_membership_state().take(MEMBERS_MAX);
+        let me = (self.standing == Standing::In).then(|| self.foca.identity().clone());
+        let state = State {
+            fleet: self.fleet,
+            boot: self.boot,
+            from: self.config.advertise,
+            to,
+            answers,
+            nonce,
+            me,
+            members: members.map(|m| (m.clone(), age(m))).collect(),
+        };
+        pack(&self.config.keys, &state)
+    }
+
+    fn take(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<(SocketAddr, u64)> {
+        let state: State = match unpack(&self.config.keys, bytes, FRAME_MAX) {
+            Ok(state) => state,
+            Err(bad) => {
+                self.refuse(bad);
+                return None;
+            }
+        };
+        let sound = state.members.len() <= MEMBERS_MAX
+            && state.members.iter().all(|(m, _)| m.id().sound())
+            && state.me.as_ref().is_none_or(Identity::sound);
+        if state.fleet != self.fleet || state.to != self.config.advertise || state.boot == self.boot || !sound {
+            self.figures.refused.astray += 1;
+            return None;
+        }
+        if state.answers != challenge {
+            self.figures.refused.replayed += 1;
+            return None;
+        }
+        self.figures.states += 1;
+        if matches!(self.standing, Standing::Yielded(_) | Standing::Left) {
+            return Some((state.from, state.nonce));
+        }
+        let own = self.config.name.clone();
+        let mut members = Vec::with_capacity(state.members.len() + 1);
+        for (m, age) in state.members {
+            if m.state() == foca::State::Down {
+                // What was dead for long is forgotten by then, also here: else it would go round for ever.
+                let age = Duration::from_millis(age);
+                if age >= self.config.timing.forget {
+                    continue;
+                }
+                self.ages.insert(m.id().name.clone(), age);
+            } else if m.id().name == own {
+                self.sight(m.id().clone());
+            }
+            members.push(m);
+        }
+        if let Some(me) = state.me {
+            if me.name == own {
+                self.sight(me);
+            } else {
+                members.push(Member::alive(me));
+            }
+        }
+        let _ = self.foca.apply_many(members.into_iter(), true, &mut self.wishes);
+        self.wishes.changed = true;
+        self.settle(now);
+        self.ages.clear();
+        Some((state.from, state.nonce))
+    }
+
+    /// The machine's own time: the embedder's, less the time in which the process stood still.
+    fn clock(&mut self, now: Duration) -> Duration {
+        let local = now.saturating_sub(self.skipped);
+        if let Some((due, _)) = self.timers.keys().next() {
+            if local > *due + STALL {
+                self.skipped += local - *due;
+                return *due;
+            }
+        }
+        local
+    }
+
+    fn plan(&mut self, now: Duration, timer: Timer, after: Duration) {
+        self.order += 1;
+        self.timers.insert((now + after, self.order), timer);
+    }
+
+    fn refuse(&mut self, bad: Bad) {
+        let r = &mut self.figures.refused;
+        *match bad {
+            Bad::Oversized => &mut r.oversized,
+            Bad::Version => &mut r.version,
+            Bad::Seal => &mut r.seal,
+            Bad::Malformed => &mut r.malformed,
+        } += 1;
+    }
+
+    fn send(&mut self, now: Duration, to: SocketAddr, body: Body) {
+        // A challenge is no message of its own, and its answer must not be one that was for somebody else.
+        if !matches!(body, Body::Challenge(_) | Body::Proof(..)) {
+            self.kept.retain(|(at, then, _)| *at != to && now.saturating_sub(*then) < KEPT_FOR);
+            if self.kept.len() >= KEPT {
+                self.kept.pop_front();
+            }
+            self.kept.push_back((to, now, body.clone()));
+        }
+        self.number += 1;
+        let packet =
+            Packet { fleet: self.fleet, boot: self.boot, from: self.config.advertise, to, number: self.number, body };
+        let bytes = pack(&self.config.keys, &packet);
+        self.figures.sent += 1;
+        self.figures.sent_bytes += bytes.len() as u64;
+        self.actions.push_back(Action::Send { to, bytes });
+    }
+
+    /// Shows the one that asks that this process is there now, and says again what it was last told.
+    fn prove(&mut self, now: Duration, to: SocketAddr, nonce: u64) {
+        if now - self.proofs.0 >= Duration::from_secs(1) {
+            self.proofs = (now, 0);
+        }
+        if self.proofs.1 >= PROOFS {
+            return;
+        }
+        self.proofs.1 += 1;
+        let last = self.kept.iter().position(|(at, then, _)| *at == to && now.saturating_sub(*then) < KEPT_FOR);
+        let again = last.and_then(|i| self.kept.remove(i)).map(|(_, _, body)| Box::new(body));
+        self.send(now, to, Body::Proof(nonce, again));
+    }
+
+    /// A message that counts.
+    fn hear(&mut self, now: Duration, boot: u64, from: SocketAddr, body: Body, length: usize) {
+        self.figures.received += 1;
+        self.figures.received_bytes += length as u64;
+        if self.standing == Standing::Left {
+            return;
+        }
+        match body {
+            Body::Gossip(digest, data) => self.gossip(now, boot, from, digest, &data),
+            Body::Ask => {
+                if self.standing == Standing::In {
+                    let own = self.foca.identity().clone();
+                    self.send(now, from, Body::Here(own));
+                }
+            }
+            Body::Here(id) if id.boot == boot && id.sound() => self.here(now, id),
+            Body::Rival(id) if id.sound() && id.name == self.config.name => self.sight(id),
+            Body::Rates(name, rates) if rates.len() <= RATES_MAX => {
+                let known = self.known.get(&name).is_some_and(|k| k.identity.boot == boot && k.status.there());
+                if known {
+                    self.actions.push_back(Action::Rates { from: name, rates });
+                }
+            }
+            _ => self.figures.refused.malformed += 1,
+        }
+    }
+
+    fn gossip(&mut self, now: Duration, boot: u64, from: SocketAddr, digest: u64, data: &[u8]) {
+        if matches!(self.standing, Standing::Yielded(_)) {
+            return;
+        }
+        // Guards against one process that speaks for another.
+        let header = postcard::take_from_bytes::<foca::Header<Identity>>(data);
+        let Some(src) = header.ok().map(|(h, _)| h.src).filter(|s| s.boot == boot && s.sound()) else {
+            self.figures.refused.malformed += 1;
+            return;
+        };
+        if src.name == self.config.name {
+            return self.sight(src);
+        }
+        if let Some(k) = self.known.get(&src.name) {
+            if k.identity.boot != boot && k.identity.beats(&src) {
+                let rival = k.identity.clone();
+                self.send(now, from, Body::Rival(rival));
+            }
+        }
+        // An error is a message that could not be read; what it holds beyond that is refused whole.
+        if self.foca.handle_data(data, &mut self.wishes).is_err() {
+            self.figures.refused.malformed += 1;
+        }
+        self.compare(now, src.address, digest);
+    }
+
+    /// Guards against views that differ for good because the news of a change were lost.
+    fn compare(&mut self, now: Duration, with: SocketAddr, digest: u64) {
+        if digest == self.digest {
+            self.differs = None;
+            return;
+        }
+        let since = *self.differs.get_or_insert(now);
+        if now - since >= DIFFER && now.saturating_sub(self.changed_at) >= DIFFER / 2 {
+            self.exchange(now, with);
+        }
+    }
+
+    fn exchange(&mut self, now: Duration, to: SocketAddr) {
+        if now >= self.exchange_from && to != self.config.advertise {
+            self.exchange_from = now + EXCHANGE_GAP;
+            self.actions.push_back(Action::Exchange { to });
+        }
+    }
+
+    /// A seed, or one that was asked whether it is there, says who it is.
+    fn here(&mut self, now: Duration, id: Identity) {
+        if let Standing::Yielded(rival) = &self.standing {
+            if id.boot == rival.boot {
+                self.check = None; // asked anew with the next contact
+            }
+            return;
+        }
+        if id.name == self.config.name {
+            if self.check.as_ref().is_some_and(|c| c.rival.boot == id.boot) {
+                self.yield_to(now, id);
+            } else {
+                self.sight(id);
+            }
+            return;
+        }
+        if !self.known.get(&id.name).is_some_and(|k| k.status.there() && k.identity.boot == id.boot) {
+            let to = id.address;
+            let _ = self.foca.announce(id, &mut self.wishes);
+            self.exchange(now, to);
+        }
+    }
+
+    /// Word of another process that has this node's name.
+    fn sight(&mut self, id: Identity) {
+        if id.name == self.config.name && id.boot != self.boot {
+            self.sightings.add(&id);
+        }
+    }
+
+    /// Whether the other process counts, and if so whether it is there, before anything is given up for it.
+    fn meet(&mut self, now: Duration, rival: Identity) {
+        if !matches!(self.standing, Standing::In | Standing::Undead) {
+            return;
+        }
+        if !rival.beats(self.foca.identity()) {
+            // Most often the word is old. If not, that one has to hear of us: from all others, and from here.
+            if rival.address != self.config.advertise && now - self.rival_told >= self.config.timing.contact {
+                self.rival_told = now;
+                let own = self.foca.identity().clone();
+                self.send(now, rival.address, Body::Rival(own));
+            }
+        } else if rival.address == self.config.advertise {
+            // At our own address there is nobody but us: that one is from before, with a clock that went ahead.
+            self.come_back(now, rival.incarnation);
+        } else if self.check.as_ref().is_none_or(|c| c.rival.boot != rival.boot) {
+            self.actions.push_back(Action::Note(Note::Rival(rival.clone())));
+            self.send(now, rival.address, Body::Ask);
+            self.check = Some(Check { rival, asked: 1 });
+        }
+    }
+
+    fn yield_to(&mut self, now: Duration, rival: Identity) {
+        self.check = None;
+        self.actions.push_back(Action::Note(Note::Yielded(rival.clone())));
+        let _ = self.foca.leave_cluster(&mut self.wishes);
+        self.standing = Standing::Yielded(rival);
+        self.settle(now);
+    }
+
+    /// Takes the name (again) under an incarnation higher than all that were heard of.
+    fn come_back(&mut self, now: Duration, above: u64) {
+        let own = self.foca.identity().clone();
+        let incarnation = own.incarnation.max(above) + 1;
+        self.standing = Standing::In;
+        self.check = None;
+        self.figures.returns += 1;
+        self.actions.push_back(Action::Note(Note::Returned(incarnation)));
+        self.become_identity(now, Identity { incarnation, ..own });
+    }
+
+    fn become_identity(&mut self, now: Duration, id: Identity) {
+        let _ = self.foca.change_identity(id, &mut self.wishes);
+        // Tells it that it has members: it starts its timers anew.
+        let _ = self.foca.apply_many(std::iter::empty(), true, &mut self.wishes);
+        self.wishes.changed = true;
+        self.wishes.defunct = false;
+        self.settle(now);
+    }
+
+    /// Now and then: a call at a member held dead, at a seed that is not in the view, at a rival.
+    fn contact(&mut self, now: Duration) {
+        let spread = 0.8 + 0.4 * self.rng.random::<f64>();
+        self.plan(now, Timer::Contact, self.config.timing.contact.mul_f64(spread));
+        self.wishes.changed = true; // what foca learned without a word on it shows by then
+        if let Standing::Yielded(rival) = &self.standing {
+            let rival = rival.clone();
+            let asked = self.check.as_ref().map_or(0, |c| c.asked) + 1;
+            if asked > RIVAL_ASKED {
+                return self.come_back(now, rival.incarnation);
+            }
+            self.send(now, rival.address, Body::Ask);
+            self.check = Some(Check { rival, asked });
+            return;
+        }
+        if let Some(check) = &mut self.check {
+            check.asked += 1;
+            let (rival, asked) = (check.rival.clone(), check.asked);
+            if asked > RIVAL_ASKED {
+                return self.come_back(now, rival.incarnation);
+            }
+            self.send(now, rival.address, Body::Ask);
+        }
+        if self.standing != Standing::In {
+            return;
+        }
+        let own = self.config.advertise;
+        let dead: Vec<&Identity> = self
+            .known
+            .values()
+            .filter(|k| k.status == Status::Dead && k.identity.address != own)
+            .map(|k| &k.identity)
+            .collect();
+        if !dead.is_empty() {
+            let id = dead[self.rng.random_range(0..dead.len())].clone();
+            let _ = self.foca.announce(id, &mut self.wishes);
+        }
+        let there = |at: &SocketAddr| self.known.values().any(|k| k.identity.address == *at && k.status.there());
+        let seeds: Vec<SocketAddr> =
+            self.config.seeds.iter().copied().filter(|at| *at != own && !there(at)).collect();
+        if !seeds.is_empty() {
+            let to = seeds[self.rng.random_range(0..seeds.len())];
+            self.send(now, to, Body::Ask);
+        }
+    }
+
+    /// Carries out what `foca` wants and looks at what has changed.
+    fn settle(&mut self, now: Duration) {
+        loop {
+            if let Some(rival) = self.sightings.take() {
+                self.meet(now, rival);
+            }
+            if std::mem::take(&mut self.wishes.defunct) && self.standing == Standing::In {
+                self.standing = Standing::Undead;
+                let wait = self.config.timing.answer;
+                self.plan(now, Timer::Return, wait);
+            }
+            for (timer, after) in std::mem::take(&mut self.wishes.timers) {
+                let after = match &timer {
+                    foca::Timer::RemoveDown(id) => {
+                        after.saturating_sub(self.ages.get(&id.name).copied().unwrap_or_default())
+                    }
+                    _ => after,
+                };
+                self.plan(now, Timer::Foca(timer), after);
+            }
+            while let Some((to, data)) = self.wishes.sends.pop_front() {
+                // What goes to another process of this name, or to the life of one that is over, is no use.
+                if to.address != self.config.advertise {
+                    let body = Body::Gossip(self.digest, data);
+                    self.send(now, to.address, body);
+                }
+            }
+            if !std::mem::take(&mut self.wishes.changed) {
+                return;
+            }
+            self.refresh(now);
+        }
+    }
+
+    /// Notes what the view holds now beside what it held.
+    fn refresh(&mut self, now: Duration) {
+        let mut changed = Vec::new();
+        let mut gone: Vec<String> = self.known.keys().cloned().collect();
+        let own = &self.config.name;
+        for m in self.foca.iter_membership_state().filter(|m| m.id().name != *own) {
+            if let Ok(i) = gone.binary_search(&m.id().name) {
+                gone.remove(i);
+            }
+            let now_is = match status(m) {
+                Status::Suspect => Status::Alive,
+                status => status,
+            };
+            let same = |k: &Known| k.identity == *m.id() && k.status == now_is;
+            if !self.known.get(&m.id().name).is_some_and(same) {
+                changed.push((m.id().clone(), now_is));
+            }
+        }
+        if changed.is_empty() && gone.is_empty() {
+            return;
+        }
+        self.changed_at = now;
+        for (id, status) in changed {
+            self.joined |= status.there();
+            let age = self.ages.get(&id.name).copied().unwrap_or_default();
+            let since = if status.there() { now } else { now.saturating_sub(age) };
+            let before = self.known.get(&id.name).map(|k| (k.status, k.since));
+            // A new life of one that is there is no change to those that count it.
+            let since = before.filter(|(s, _)| *s == status && s.there()).map_or(since, |(_, since)| since);
+            let was = before.map(|(s, _)| s);
+            let note = match status {
+                Status::Dead if was != Some(status) => {
+                    self.figures.deaths += 1;
+                    Some(Note::Down(id.clone()))
+                }
+                Status::Left if was != Some(status) => Some(Note::Left(id.clone())),
+                Status::Dead | Status::Left => None,
+                _ => Some(Note::Up(id.clone())),
+            };
+            self.actions.extend(note.map(Action::Note));
+            self.known.insert(id.name.clone(), Known { identity: id, status, since });
+        }
+        for name in gone {
+            self.known.remove(&name);
+            self.actions.push_back(Action::Note(Note::Forgotten(name)));
+        }
+        self.digest = self.digest_now();
+        let there = self.known.values().filter(|k| k.status.there()).count() + 1;
+        let _ = self.foca.set_config(swim(&self.config.timing, there));
+    }
+
+    fn digest_now(&self) -> u64 {
+        let own = self.foca.identity();
+        let mut lines: Vec<(&str, u64)> = self
+            .known
+            .values()
+            .filter(|k| k.status.there())
+            .map(|k| (k.identity.name.as_str(), k.identity.incarnation))
+            .collect();
+        lines.push((&own.name, own.incarnation));
+        lines.sort_unstable();
+        lines.iter().fold(0, |h, (name, incarnation)| {
+            hash(name).wrapping_add(*incarnation).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ h.rotate_left(7)
+        })
+    }
+}
+
+fn status(m: &Member<Identity>) -> Status {
+    match (m.state(), m.id().phase) {
+        (_, Phase::Left) => Status::Left,
+        (foca::State::Down, _) => Status::Dead,
+        (_, Phase::Draining) => Status::Draining,
+        (foca::State::Alive, _) => Status::Alive,
+        (foca::State::Suspect, _) => Status::Suspect,
+    }
+}
+
+fn line(id: &Identity, status: Status, age: Duration) -> Line {
+    Line {
+        name: id.name.clone(),
+        zone: id.zone.clone(),
+        address: id.address,
+        incarnation: id.incarnation,
+        boot: id.boot,
+        status,
+        for_ms: millis(age),
+    }
+}
--- a/node/src/faktory/leases.rs
+++ b/node/src/faktory/leases.rs
@@ -2,7 +2,7 @@
 //! It carries the core's sends to waiting FETCHes and tells the core what became of them.
 
 use super::codec::Push;
-use crate::config::Names;
+use crate::names::Names;
 use crate::dispatcher::{number_of, Answer, Handle, Tag};
 use bytes::Bytes;
 use dewlever::api::{Availability, Outcome, Request, WorkerEntry, WorkerId};
--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -5,7 +5,7 @@
 mod leases;
 mod session;
 
-use crate::config::read_settings;
+use crate::names::read_settings;
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Tag};
 use crate::phase::Phase;
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -5,7 +5,7 @@
 use super::open::Id;
 use super::pool::{Connection, Pool};
 use super::Job;
-use crate::config::Names;
+use crate::names::Names;
 use crate::dispatcher::{Handle, Tag};
 use bytes::{Bytes, BytesMut};
 use dewlever::api::{LoadReport, Outcome, WorkerId};
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -1,15 +1,13 @@
-//! The fields of the platform's wire: what is taken out of requests, worker lines and worker lists.
+//! The fields of the platform's wire: what is taken out of requests and worker lines.
 
-use crate::config::Names;
+use crate::names::Names;
 use crate::dispatcher::number_of;
 use bytes::Bytes;
-use dewlever::api::{Availability, LoadReport, Request, WorkerEntry, WorkerId};
+use dewlever::api::{LoadReport, Request};
 use hyper::header::HeaderMap;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
-use std::collections::HashSet;
-use std::net::SocketAddr;
 
 /// The first part of a path, which names the class.
 pub fn class_in(path: &str) -> &str {
@@ -134,86 +132,3 @@
     let value = |name: &str| pairs.iter().find(|p| p.0 == name).and_then(|p| p.1.parse().ok());
     Some(report(names, value))
 }
-
-/// An answer of discovery.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct ListBody {
-    /// The version of the list.
-    pub revision: u64,
-    /// Whether these are all workers, or the changed ones.
-    pub complete: bool,
-    /// The lines.
-    pub members: Vec<Member>,
-}
-
-/// A line of the worker list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Member {
-    id: String,
-    host_port: SocketAddr,
-    locality: String,
-    flavor: String,
-    #[serde(default)]
-    cell: u32,
-    phase: Phase,
-    #[serde(default = "one")]
-    size: f64,
-    #[serde(default)]
-    up_since_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-enum Phase {
-    InService,
-    Terminating,
-    Terminated,
-}
-
-impl ListBody {
-    /// Takes a newer list in: changed lines, or all of them. Who is gone has no line.
-    pub fn merge(&mut self, newer: &ListBody) {
-        if newer.complete {
-            self.members.clear();
-        }
-        // Guards the one thread against long lists: no line is compared with each other one.
-        let told: HashSet<&str> = newer.members.iter().map(|m| m.id.as_str()).collect();
-        self.members.retain(|m| !told.contains(m.id.as_str()));
-        self.members.extend(newer.members.iter().filter(|m| !m.is_gone()).cloned());
-        (self.revision, self.complete) = (newer.revision, true);
-    }
-}
-
-impl Member {
-    /// Where it listens.
-    pub fn address(&self) -> (WorkerId, SocketAddr) {
-        (WorkerId(number_of(&self.id)), self.host_port)
-    }
-
-    /// Whether it says that the worker is gone.
-    pub fn is_gone(&self) -> bool {
-        matches!(self.phase, Phase::Terminated)
-    }
-
-    /// The line as the module takes it.
-    pub fn entry(&self, names: &Names) -> WorkerEntry {
-        let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|i| i as u8);
-        WorkerEntry {
-            worker: WorkerId(number_of(&self.id)),
-            kind: place(&names.kinds, &self.flavor).unwrap_or(0),
-            zone: place(&names.zones, &self.locality).unwrap_or(u8::MAX),
-            cell: self.cell,
-            availability: match self.phase {
-                Phase::InService => Availability::Ready,
-                Phase::Terminating => Availability::Draining,
-                Phase::Terminated => Availability::Gone,
-            },
-            scale: self.size,
-            since: self.up_since_ms * 1000,
-        }
-    }
-}
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -1,9 +1,9 @@
 //! Follows discovery: the list that was known, then the whole list, then one watch after the other.
 
-use super::fields::ListBody;
+use crate::list::ListBody;
 use super::pool::Pool;
 use super::Job;
-use crate::config::Names;
+use crate::names::Names;
 use crate::counters::Counters;
 use crate::dispatcher::Handle;
 use bytes::Bytes;
--- a/node/src/platform/moving.rs
+++ b/node/src/platform/moving.rs
@@ -5,7 +5,7 @@
 use super::meter::Meter;
 use super::socket::Leash;
 use super::Job;
-use crate::config::Names;
+use crate::names::Names;
 use crate::dispatcher::{Handle, Sent};
 use crate::upgrade::Lifted;
 use bytes::Bytes;
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to workers: one request at a time on each, idle ones kept for a while.
 
-use super::fields::Member;
+use crate::list::Member;
 use super::meter::{Meter, Metered, Written};
 use super::moving::Adopted;
 use super::socket::{Leash, Socket};
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -7,7 +7,7 @@
 use super::socket::Socket;
 use super::stock::Stock;
 use super::{fields, moving, Job};
-use crate::config::Names;
+use crate::names::Names;
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
 use crate::phase::{Phase, Phases};
--- a/node/src/platform/stock.rs
+++ b/node/src/platform/stock.rs
@@ -1,7 +1,7 @@
 //! What the front may hold: descriptors of clients and workers, memory for bodies, and the ids and the list that
 //! go to the process that takes its place. While two processes are one node, both share what `limits` allows.
 
-use super::fields::ListBody;
+use crate::list::ListBody;
 use super::open::Ids;
 use super::pool::Pool;
 use super::room::Room;
--- a/node/src/retune.rs
+++ b/node/src/retune.rs
@@ -1,7 +1,7 @@
 //! New settings laid over the running ones: what has a number keeps it, so that open jobs keep their class and its
 //! rules, and what the module learned under a number stays true.
 
-use crate::config::Names;
+use crate::names::Names;
 use dewlever::api::{ClassSettings, Settings, TenantSettings};
 use serde_json::Value;
 
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -3,7 +3,7 @@
 //! what it has. What either holds counts for both, and the end of their link tells each of the other's end.
 
 use crate::phase::Phases;
-use crate::platform::fields::ListBody;
+use crate::list::ListBody;
 use crate::platform::socket::Leash;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
--- a/node/tests/dispatcher.rs
+++ b/node/tests/dispatcher.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use common::{checker, holds, settings};
 use dewlever::api::{Availability, Outcome, Request, WorkerEntry, WorkerId};
-use molevale::config::read_settings;
+use molevale::names::read_settings;
 use molevale::counters::Counters;
 use molevale::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Tag};
 use quickcheck::{Arbitrary, Gen};
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use common::{checker, holds, request, stop, stopping, Client, Platform, Seen, Worker};
 use dewlever::api::Outcome;
-use molevale::config::read_settings;
+use molevale::names::read_settings;
 use molevale::retune::Tuning;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
--- a/src/api.rs
+++ b/src/api.rs
@@ -108,6 +108,11 @@
     pub siblings: u32,
     /// This dispatcher's number among them, from 0 on.
     pub ordinal: u32,
+    /// The most dispatchers that may be sending to workers, where that can be more than `siblings`: one that is not
+    /// there any more may only be cut off from here. 0 where nothing else is known.
+    pub most_senders: u32,
+    /// Which dispatchers the numbers mean: where this changes, what was told under a number is forgotten.
+    pub order: u64,
     /// The zone of this dispatcher.
     pub zone: u8,
     /// Attempts that one request may have.
@@ -180,6 +185,11 @@
 }
 
 impl Settings {
+    /// How many dispatchers share what all of them together may do to workers.
+    pub fn senders(&self) -> u32 {
+        self.siblings.max(self.most_senders)
+    }
+
     /// Checks that the figures make sense together.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let part = |x: f64| x.is_finite() && x >= 0.0;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -193,6 +193,7 @@
             self.classes.push(Class { usual, long, u: 1.0, kept: 1.0, ..Class::default() });
         }
         self.tenants.resize_with(tenants.max(1), || Tenant { tokens: 1.0, ..Tenant::default() });
+        if settings.order != self.set.order { self.peers.clear(); } // their numbers mean other nodes now
         self.set = settings;
         self.set_allotments();
     }
@@ -497,7 +498,7 @@
     }
 
     /// Many dispatchers: what one sees of a worker tells little of it, the list's live weights tell more.
-    fn shared(&self) -> bool { self.set.live_weights && self.set.siblings > ALL as u32 }
+    fn shared(&self) -> bool { self.set.live_weights && self.set.senders() > ALL as u32 }
 
     /// Whether the list tells that siblings' jobs fill a worker: then a job waits there for a reason.
     fn busy(&self, i: usize) -> bool {
@@ -505,7 +506,7 @@
     }
 
     /// How much seldomer each tries a doubted worker, for all siblings do.
-    fn seldom(&self) -> Time { (Time::from(self.set.siblings) / ALL as Time).max(1) }
+    fn seldom(&self) -> Time { (Time::from(self.set.senders()) / ALL as Time).max(1) }
 
     fn estimates(&self) -> bool { self.set.reports_free && !self.set.tells_start && !self.asks() }
 
@@ -518,7 +519,7 @@
 
     /// All siblings send alike: each keeps to its usual rate, or its part, times warmth and a safe multiple.
     fn cold_credit(&self, w: &Worker, warmth: f64) -> f64 {
-        let (r, all) = (&self.set.rules, self.work.max(1e-3) * f64::from(self.set.siblings));
+        let (r, all) = (&self.set.rules, self.work.max(1e-3) * f64::from(self.set.senders()));
         let (since, grown) = (self.now - w.credit_at, (1.0 - r.cold_share).max(0.0) / 2.0);
         let usual = if self.shared() { 1.0 / all } else { self.served / self.scale.max(1e-9) };
         // Over this time it was less warm than now: in a large fleet nobody uses more than was there.
@@ -539,7 +540,7 @@
         (worker.credit, worker.credit_at) = (credit, now);
         (worker.held, worker.free, worker.used_at) = (worker.held + job.need, worker.free - job.need, now);
         worker.there += job.need; // the next list counts it
-        if self.set.live_weights && self.set.siblings > ALL as u32 {
+        if self.set.live_weights && self.set.senders() > ALL as u32 {
             let (c, speed) = (&self.set.classes[job.class], self.weights.speed(worker.kind as usize));
             let latest = c.aim_us + ((c.stretch - 1.0 / speed.max(0.1)).max(0.0) * job.work) as Time;
             job.due = (job.admitted + latest).min(job.deadline);
@@ -803,7 +804,7 @@
         (last.overdue, last.there) = (last.overdue - u32::from(a.overdue), (last.there - job.need).max(0.0));
         (last.held, last.used_at) = (last.held - if a.lost { 0.0 } else { job.need }, self.now);
         // Guards against tables filled by many dispatchers' idle connections, where new ones cost nothing.
-        let many = self.set.handshake_price <= 0.0 && self.set.siblings > ALL as u32;
+        let many = self.set.handshake_price <= 0.0 && self.set.senders() > ALL as u32;
         if last.held < 0.5 && many { out.push(Action::Release { worker: last.id }); }
         let failed = matches!(outcome, Outcome::Error | Outcome::Reset) && !e.kept;
         let guilty = failed && self.blame(&job, outcome == Outcome::Reset);
@@ -930,7 +931,7 @@
         if full { self.workers.iter_mut().for_each(|w| w.unlist(soft, now)); }
         for e in entries {
             self.kinds.resize(self.kinds.len().max(e.kind as usize + 1), (1.0, 0.0, 1.0));
-            let phase = self.rng.below(1000) as f64 / if self.set.siblings > ALL as u32 { 1e3 } else { 2e3 };
+            let phase = self.rng.below(1000) as f64 / if self.set.senders() > ALL as u32 { 1e3 } else { 2e3 };
             let i = *self.index.entry(e.worker).or_insert(self.workers.len());
             let fresh = i == self.workers.len();
             if fresh { self.workers.push(Worker::default()); }
@@ -1004,8 +1005,7 @@
         let with_quota = self.set.tenants.iter().zip(&self.tenants).filter(|(s, _)| s.quota_per_s > 0.0);
         let mut parts: Vec<f64> = with_quota.map(|(s, t)| t.rate / s.quota_per_s).collect();
         parts.sort_by(f64::total_cmp);
-        let even = 1.0 / f64::from(self.set.siblings.max(1));
-        let young = self.now - self.born < 3 * SECOND;
+        let (even, young) = (1.0 / f64::from(self.set.siblings.max(1)), self.now - self.born < 3 * SECOND);
         let middle = if parts.is_empty() || young { even } else { parts[parts.len() / 2] / USUAL_USE };
         self.peers.retain(|_, p| self.now - p.0 < 2 * MUTE);
         for (i, (s, t)) in self.set.tenants.iter().zip(&mut self.tenants).enumerate() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -173,6 +173,8 @@
         tenants,
         siblings: p.span("Siblings", 1)?.max(1) as u32,
         ordinal: p.span("Ordinal", 0)? as u32,
+        most_senders: 0, // the embedder's to say, as who the siblings are
+        order: 0,
         zone: p.span("Zone", 0)? as u8,
         max_attempts: p.span("Limits.MaxAttempts", 1)? as u32,
         cancelling: p.flag("Limits.Cancelling", false)?,
