--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -68,7 +68,8 @@
             let line = e.span().map_or(1, |s| line(s.start));
             BadFile { line, what: e.message().trim().replace('\n', " ") }
         })?;
-        let bad = |at: &std::ops::Range<usize>, what: &str| BadFile { line: line(at.start), what: what.into() };
+        let bad =
+            |at: &std::ops::Range<usize>, what: &str| BadFile { line: line(at.start), what: what.into() };
         let address = |given: &Spanned<String>| match given.get_ref().parse::<SocketAddr>() {
             Ok(at) if !at.ip().is_unspecified() => Ok(at),
             _ => Err(bad(&given.span(), "an address and a port are wanted, such as 127.0.0.1:7946")),
@@ -78,12 +79,14 @@
             text if text.len() > NAME_MAX => Err(bad(&given.span(), &format!("{what} is too long"))),
             text => Ok(text.to_string()),
         };
-        let span = |given: &Option<Spanned<u64>>, unit: u64, absent: Duration, least: u64, most: u64| match given
-        {
-            None => Ok(absent),
-            Some(n) if (least..=most).contains(n.get_ref()) => Ok(Duration::from_millis(n.get_ref() * unit)),
-            Some(n) => Err(bad(&n.span(), &format!("{least} to {most} is allowed"))),
-        };
+        let span =
+            |given: &Option<Spanned<u64>>, unit: u64, absent: Duration, least: u64, most: u64| match given {
+                None => Ok(absent),
+                Some(n) if (least..=most).contains(n.get_ref()) => {
+                    Ok(Duration::from_millis(n.get_ref() * unit))
+                }
+                Some(n) => Err(bad(&n.span(), &format!("{least} to {most} is allowed"))),
+            };
         let (t, d) = (&raw.timing, Timing::default());
         let timing = Timing {
             probe: span(&t.probe_ms, 1, d.probe, 100, 60_000)?,
--- a/fleet/src/machine.rs
+++ b/fleet/src/machine.rs
@@ -294,8 +294,7 @@
             phase: Phase::Serving,
         };
         let sightings = Sightings::default();
-        let codec =
-            Watchful { name: config.name.clone(), boot: birth.boot, sightings: sightings.clone() };
+        let codec = Watchful { name: config.name.clone(), boot: birth.boot, sightings: sightings.clone() };
         let foca_rng = SmallRng::seed_from_u64(rng.random());
         let mut machine = Machine {
             boot: birth.boot,
@@ -351,6 +350,7 @@
         let now = self.clock(now);
         while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
             match entry.remove() {
+                Timer::Foca(timer) if self.is_refuted(&timer) => {}
                 // An error here is a probe that the process itself held up; the next one goes on.
                 Timer::Foca(timer) => drop(self.foca.handle_timer(timer, &mut self.wishes)),
                 Timer::Contact => self.contact(now),
@@ -363,6 +363,15 @@
         }
     }
 
+    /// Guards against a member that refuted its suspicion and is told that it is dead all the same: `foca` 2.0 tells it
+    /// so whenever the time for that is over.
+    fn is_refuted(&self, timer: &foca::Timer<Identity>) -> bool {
+        let foca::Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
+        !self.foca.iter_membership_state().any(|m| {
+            m.id() == member_id && m.incarnation() == *incarnation && m.state() == foca::State::Suspect
+        })
+    }
+
     /// Takes a datagram in, whatever it holds.
     pub fn datagram(&mut self, now: Duration, bytes: &[u8]) {
         let now = self.clock(now);
@@ -559,7 +568,8 @@
         let sound = state.members.len() <= MEMBERS_MAX
             && state.members.iter().all(|(m, _)| m.id().sound())
             && state.me.as_ref().is_none_or(Identity::sound);
-        if state.fleet != self.fleet || state.to != self.config.advertise || state.boot == self.boot || !sound {
+        if state.fleet != self.fleet || state.to != self.config.advertise || state.boot == self.boot || !sound
+        {
             self.figures.refused.astray += 1;
             return None;
         }
@@ -637,8 +647,14 @@
             self.kept.push_back((to, now, body.clone()));
         }
         self.number += 1;
-        let packet =
-            Packet { fleet: self.fleet, boot: self.boot, from: self.config.advertise, to, number: self.number, body };
+        let packet = Packet {
+            fleet: self.fleet,
+            boot: self.boot,
+            from: self.config.advertise,
+            to,
+            number: self.number,
+            body,
+        };
         let bytes = pack(&self.config.keys, &packet);
         self.figures.sent += 1;
         self.figures.sent_bytes += bytes.len() as u64;
@@ -654,7 +670,8 @@
             return;
         }
         self.proofs.1 += 1;
-        let last = self.kept.iter().position(|(at, then, _)| *at == to && now.saturating_sub(*then) < KEPT_FOR);
+        let last =
+            self.kept.iter().position(|(at, then, _)| *at == to && now.saturating_sub(*then) < KEPT_FOR);
         let again = last.and_then(|i| self.kept.remove(i)).map(|(_, _, body)| Box::new(body));
         self.send(now, to, Body::Proof(nonce, again));
     }
@@ -677,7 +694,8 @@
             Body::Here(id) if id.boot == boot && id.sound() => self.here(now, id),
             Body::Rival(id) if id.sound() && id.name == self.config.name => self.sight(id),
             Body::Rates(name, rates) if rates.len() <= RATES_MAX => {
-                let known = self.known.get(&name).is_some_and(|k| k.identity.boot == boot && k.status.there());
+                let known =
+                    self.known.get(&name).is_some_and(|k| k.identity.boot == boot && k.status.there());
                 if known {
                     self.actions.push_back(Action::Rates { from: name, rates });
                 }
@@ -848,7 +866,8 @@
             let id = dead[self.rng.random_range(0..dead.len())].clone();
             let _ = self.foca.announce(id, &mut self.wishes);
         }
-        let there = |at: &SocketAddr| self.known.values().any(|k| k.identity.address == *at && k.status.there());
+        let there =
+            |at: &SocketAddr| self.known.values().any(|k| k.identity.address == *at && k.status.there());
         let seeds: Vec<SocketAddr> =
             self.config.seeds.iter().copied().filter(|at| *at != own && !there(at)).collect();
         if !seeds.is_empty() {
--- a/fleet/src/packet.rs
+++ b/fleet/src/packet.rs
@@ -14,7 +14,7 @@
 /// The first bytes of every datagram and frame.
 const MAGIC: [u8; 2] = *b"mv";
 /// The rates of tenants in one message at most.
-pub(crate) const RATES_MAX: usize = 100;
+pub const RATES_MAX: usize = 90;
 
 /// A datagram's content.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -90,7 +90,7 @@
 }
 
 /// A hash of a name that is the same at every node: FNV-1a.
-pub(crate) fn hash(text: &str) -> u64 {
+pub fn hash(text: &str) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
     text.bytes().fold(0xcbf2_9ce4_8422_2325, step)
 }
--- a/fleet/src/stand.rs
+++ b/fleet/src/stand.rs
@@ -57,15 +57,7 @@
 
     fn line(name: &str, status: Status, for_ms: u64) -> Line {
         let address = "127.0.0.1:1".parse().unwrap();
-        Line {
-            name: name.into(),
-            zone: String::new(),
-            address,
-            incarnation: 1,
-            boot: 1,
-            status,
-            for_ms,
-        }
+        Line { name: name.into(), zone: String::new(), address, incarnation: 1, boot: 1, status, for_ms }
     }
 
     fn stand(lines: &[Line], planned: u32) -> Stand {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -5,10 +5,13 @@
 use crate::list::ListBody;
 use crate::names::read_settings;
 use crate::retune::Tuning;
+use fleet::file::File;
+use fleet::keys::Keys;
+use fleet::NAME_MAX;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// The descriptors that the platform's front needs at least.
 const SOCKETS_MIN: usize = 128;
@@ -89,6 +92,28 @@
     pub config: Option<Config>,
     /// The Faktory front.
     pub operator: Option<Operator>,
+    /// The talk between nodes.
+    pub fleet: Option<Talk>,
+}
+
+/// What lets a node talk to others.
+#[derive(Clone, PartialEq)]
+pub struct Talk {
+    /// The operator's file.
+    pub file: File,
+    /// The keys that it names.
+    pub keys: Keys,
+}
+
+impl Talk {
+    fn read(path: &Path, text: impl Fn(&PathBuf) -> Result<String, String>) -> Result<Talk, String> {
+        let file =
+            File::parse(&text(&path.to_path_buf())?).map_err(|e| format!("{}: {e}", path.display()))?;
+        // A relative name is meant from where the file stands, wherever the node was started.
+        let at = path.parent().unwrap_or(Path::new("")).join(&file.key_file);
+        let keys = Keys::parse(&text(&at)?).map_err(|e| format!("{}: {e}", at.display()))?;
+        Ok(Talk { file, keys })
+    }
 }
 
 impl Told {
@@ -101,6 +126,9 @@
         if self.operator != newer.operator {
             all.push("the operator's file");
         }
+        if self.fleet.as_ref().map(|t| &t.file) != newer.fleet.as_ref().map(|t| &t.file) {
+            all.push("the fleet's file");
+        }
         all
     }
 }
@@ -111,26 +139,22 @@
     pub config: Option<PathBuf>,
     /// The operator's file of the Faktory front.
     pub operator: Option<PathBuf>,
+    /// The operator's file that lets nodes talk.
+    pub fleet: Option<PathBuf>,
 }
 
 impl Sources {
-    /// From the command line, `molevale [--faktory FILE]`, and the environment.
-    pub fn new(mut arguments: impl Iterator<Item = String>) -> Result<Sources, String> {
-        let usage = || "usage: molevale [--faktory FILE]".to_string();
-        let operator = match arguments.next().as_deref() {
-            None => None,
-            Some("--faktory") => Some(PathBuf::from(arguments.next().ok_or_else(usage)?)),
-            Some(_) => return Err(usage()),
-        };
-        if arguments.next().is_some() {
-            return Err(usage());
-        }
+    /// From the command line's files and the environment.
+    pub fn new(operator: Option<PathBuf>, fleet: Option<PathBuf>) -> Result<Sources, String> {
         let config = variable("RELAY_CONFIG").map(PathBuf::from);
         // Without a platform configuration, the second front may run alone.
         if config.is_none() && operator.is_none() {
             return Err("RELAY_CONFIG is not set".to_string());
         }
-        Ok(Sources { config, operator })
+        if config.is_none() && fleet.is_some() {
+            return Err("--fleet: RELAY_CONFIG is not set, so the node has no name".to_string());
+        }
+        Ok(Sources { config, operator, fleet })
     }
 
     /// Reads all of it for the start: variables, where set, come before the platform's file.
@@ -162,7 +186,14 @@
                 .filter(|left| *left >= SOCKETS_MIN)
                 .ok_or("operator's file: connections leave the platform too few sockets")?;
         }
-        Ok(Told { config, operator })
+        let fleet = match &self.fleet {
+            Some(path) => Some(Talk::read(path, text)?),
+            None => None,
+        };
+        if fleet.is_some() && config.as_ref().is_some_and(|c| c.name.is_empty() || c.name.len() > NAME_MAX) {
+            return Err(format!("--fleet: the node needs a name of 1 to {NAME_MAX} bytes"));
+        }
+        Ok(Told { config, operator, fleet })
     }
 }
 
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -77,6 +77,8 @@
     fn release(&mut self, _worker: WorkerId) {}
     /// Asks for the worker list again.
     fn watch(&mut self) {}
+    /// Tells another node, by its number, the rates of tenants here.
+    fn tell(&mut self, _to: u32, _rates: &[u8]) {}
 }
 
 /// What reaches the core.
@@ -91,6 +93,7 @@
     List(Vec<WorkerEntry>, bool),
     ListFailed,
     Settings(Box<Settings>, Vec<Option<usize>>),
+    Peer(u32, Vec<u8>),
     Adopt(Request, J, Sent),
     Lift(oneshot::Sender<()>),
     Moved(Tag),
@@ -177,6 +180,11 @@
         self.put(Input::Settings(Box::new(settings), continues));
     }
 
+    /// Another node, by its number, tells the rates of tenants there.
+    pub fn peer(&self, from: u32, rates: Vec<u8>) {
+        self.put(Input::Peer(from, rates));
+    }
+
     /// The worker list could not be had.
     pub fn list_failed(&self) {
         self.put(Input::ListFailed);
@@ -334,6 +342,7 @@
                 self.tell(if full { Event::FullList(entries) } else { Event::ListChanges(entries) });
             }
             Input::ListFailed => self.tell(Event::ListFailed),
+            Input::Peer(from, bytes) => self.tell(Event::PeerMessage { from, bytes }),
             Input::Adopt(request, job, sent) => self.adopt(request, job, sent),
             Input::Lift(done) => {
                 self.lift();
@@ -474,8 +483,9 @@
             Action::Watch => self.front.watch(),
             Action::Release { worker } => self.front.release(worker),
             Action::Trace(trace) => say(&trace),
-            // The settings offer neither; a module that asks all the same gets nothing.
-            Action::Probe { .. } | Action::Tell { .. } => log::error!("the module may not probe or tell"),
+            Action::Tell { to, bytes } => self.front.tell(to, &bytes),
+            // The settings don't offer it; a module that asks all the same gets nothing.
+            Action::Probe { .. } => log::error!("the module may not probe"),
         }
     }
 
--- a/node/src/faktory/leases.rs
+++ b/node/src/faktory/leases.rs
@@ -2,8 +2,8 @@
 //! It carries the core's sends to waiting FETCHes and tells the core what became of them.
 
 use super::codec::Push;
-use crate::names::Names;
 use crate::dispatcher::{number_of, Answer, Handle, Tag};
+use crate::names::Names;
 use bytes::Bytes;
 use dewlever::api::{Availability, Outcome, Request, WorkerEntry, WorkerId};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -5,9 +5,9 @@
 mod leases;
 mod session;
 
-use crate::names::read_settings;
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Tag};
+use crate::names::read_settings;
 use crate::phase::Phase;
 use dewlever::api::{Outcome, Settings, WorkerId};
 use leases::{Leases, RecordId, OFFER_WAIT};
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,10 +4,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
 pub mod config;
 pub mod counters;
 pub mod dispatcher;
 pub mod faktory;
+pub mod fleet;
 pub mod list;
 pub mod logger;
 pub mod management;
@@ -24,6 +26,7 @@
 use phase::Phases;
 use platform::Links;
 use reload::Reload;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -31,21 +34,45 @@
 use tokio::sync::watch;
 use upgrade::{Before, Found};
 
-/// Runs a node as its environment says. Bad input ends it with one line on standard error and code 2.
+/// Does what the command line says; without a command, runs a node as its environment says. Bad input ends it with one
+/// line on standard error and code 2, a node that could not be asked with code 1.
 pub fn run() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("molevale: {}", message.replace('\n', " "));
-            ExitCode::from(2)
+    let cli = match cli::parse(std::env::args_os()) {
+        Ok(Some(cli)) => cli,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(message) => return fail(&message, 2),
+    };
+    match cli.command {
+        Some(cli::Command::Fleet(cli::Fleet::Show { address, json })) => {
+            match asked(fleet::show(address, json)) {
+                Ok(text) => {
+                    print!("{text}");
+                    ExitCode::SUCCESS
+                }
+                Err(message) => fail(&message, 1),
+            }
         }
+        None => match start(cli.faktory, cli.fleet) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => fail(&message, 2),
+        },
     }
 }
 
-fn start() -> Result<(), String> {
-    let sources = Sources::new(std::env::args().skip(1))?;
+fn fail(message: &str, code: u8) -> ExitCode {
+    eprintln!("molevale: {}", message.replace('\n', " "));
+    ExitCode::from(code)
+}
+
+fn asked(call: impl std::future::Future<Output = Result<String, String>>) -> Result<String, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(call)
+}
+
+fn start(faktory: Option<PathBuf>, fleet: Option<PathBuf>) -> Result<(), String> {
+    let sources = Sources::new(faktory, fleet)?;
     let told = sources.read()?;
-    let Told { config, operator } = told.clone();
+    let Told { config, operator, fleet: talk } = told.clone();
     logger::start(config.as_ref().map_or("faktory", |c| &c.name));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
@@ -53,25 +80,38 @@
         let phases = Phases::default();
         phases.stop_on_signal().map_err(|e| format!("no signals: {e}"))?;
         let (ready, follow_ready) = watch::channel(false);
+        let reload = Reload::new(sources, told);
+        let (discovery, tuning) = (reload.discovery(), reload.tuning());
+        let fleet = match (talk, &config) {
+            (Some(talk), Some(config)) => Some(fleet::start(fleet::Links {
+                name: config.name.clone(),
+                talk,
+                keys: reload.keys(),
+                planned: reload.tuning(),
+                phase: phases.follow(),
+            })?),
+            _ => None,
+        };
+        reload.on_signal().map_err(|e| format!("no signals: {e}"))?;
         if let Some(at) = config.as_ref().and_then(|c| c.management) {
             let listener = TcpListener::bind(at).await;
             let listener = listener.map_err(|e| format!("cannot listen on {at} (management): {e}"))?;
-            let management = Management { phases: phases.clone(), ready: follow_ready };
+            let management = Management { phases: phases.clone(), ready: follow_ready, fleet: fleet.clone() };
             tokio::spawn(management.serve(listener));
         }
-        let reload = Reload::new(sources, told);
-        let (discovery, tuning) = (reload.discovery(), reload.tuning());
-        reload.on_signal().map_err(|e| format!("no signals: {e}"))?;
         let counters = [Arc::new(Counters::default()), Arc::new(Counters::default())];
         let say = |counters: &[Arc<Counters>; 2]| {
             log::info!("counters: platform {}", counters[0]);
             log::info!("counters: faktory {}", counters[1]);
         };
         let mut asked = signal(SignalKind::user_defined1()).map_err(|e| format!("no signals: {e}"))?;
-        let on_request = counters.clone();
+        let (on_request, of_fleet) = (counters.clone(), fleet.clone());
         tokio::spawn(async move {
             while asked.recv().await.is_some() {
                 say(&on_request);
+                if let Some(fleet) = &of_fleet {
+                    fleet.say().await;
+                }
             }
         });
         // Before another process is asked for its place: a start that fails must leave that one serving.
@@ -98,8 +138,8 @@
                         Found::Nobody => (listen(false)?, None),
                     };
                     let counters = counters[0].clone();
-                    let links =
-                        Links { counters, phases: phases.clone(), discovery, tuning, ready, before, place };
+                    let (phases, fleet) = (phases.clone(), fleet.clone());
+                    let links = Links { counters, phases, discovery, tuning, ready, before, place, fleet };
                     platform::serve(config, listener, links).await
                 }
                 None => Ok(()),
@@ -115,6 +155,10 @@
         };
         let served = tokio::try_join!(platform, faktory);
         say(&counters);
+        if let Some(fleet) = &fleet {
+            fleet.say().await;
+            fleet.leave().await;
+        }
         served.map(|_| ())
     })
 }
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -1,10 +1,11 @@
 //! Where operators call: a small HTTP front of its own, so that they are heard however full the clients' door
 //! is. One call a connection; it reads and turns the phase and decides nothing else.
 
+use crate::fleet;
 use crate::phase::Phases;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -33,6 +34,8 @@
     pub phases: Phases,
     /// Whether the process can serve.
     pub ready: watch::Receiver<bool>,
+    /// The talk between nodes, where it is on.
+    pub fleet: Option<fleet::Handle>,
 }
 
 impl Management {
@@ -61,7 +64,7 @@
     }
 
     async fn call(&self, socket: TcpStream) {
-        let service = service_fn(|request| async move { Ok::<_, Infallible>(self.answer(&request)) });
+        let service = service_fn(|request| async move { Ok::<_, Infallible>(self.answer(&request).await) });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).header_read_timeout(None).max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(socket), service);
@@ -72,10 +75,10 @@
         }
     }
 
-    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let (method, path) = (request.method(), request.uri().path());
         let allowed = match path {
-            "/healthcheck" => Method::GET,
+            "/healthcheck" | "/fleet" => Method::GET,
             "/healthcheck/fail" | "/healthcheck/ok" => Method::POST,
             _ => return say(StatusCode::NOT_FOUND, "there is no such call"),
         };
@@ -84,6 +87,9 @@
             reply.headers_mut().insert(ALLOW, HeaderValue::from_str(allowed.as_str()).expect("a method"));
             return reply;
         }
+        if path == "/fleet" {
+            return self.view().await;
+        }
         let (yes, text) = match path {
             "/healthcheck" if *self.ready.borrow() => (true, "ready"),
             "/healthcheck" => (false, "starting"),
@@ -96,9 +102,23 @@
         }
         say(if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, text)
     }
+
+    async fn view(&self) -> Response<Full<Bytes>> {
+        let Some(fleet) = &self.fleet else {
+            return say(StatusCode::NOT_FOUND, "this node talks to no other: it was started without --fleet");
+        };
+        match fleet.show().await.map(|shown| serde_json::to_string(&shown)) {
+            Some(Ok(text)) => {
+                let mut reply = say(StatusCode::OK, &text);
+                reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                reply
+            }
+            _ => say(StatusCode::SERVICE_UNAVAILABLE, "the talk between nodes has ended"),
+        }
+    }
 }
 
-fn say(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+fn say(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
     let mut reply = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
     *reply.status_mut() = status;
     reply
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -1,7 +1,7 @@
 //! The fields of the platform's wire: what is taken out of requests and worker lines.
 
-use crate::names::Names;
 use crate::dispatcher::number_of;
+use crate::names::Names;
 use bytes::Bytes;
 use dewlever::api::{LoadReport, Request};
 use hyper::header::HeaderMap;
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -1,11 +1,11 @@
 //! Follows discovery: the list that was known, then the whole list, then one watch after the other.
 
-use crate::list::ListBody;
 use super::pool::Pool;
 use super::Job;
-use crate::names::Names;
 use crate::counters::Counters;
 use crate::dispatcher::Handle;
+use crate::list::ListBody;
+use crate::names::Names;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -18,10 +18,13 @@
 
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::dispatcher::{queue, Answer, Dispatcher, Front, Handle, Sent, Tag};
+use crate::dispatcher::{number_of, queue, Answer, Dispatcher, Front, Handle, Sent, Tag};
+use crate::fleet;
+use crate::names::Names;
 use crate::phase::Phases;
 use crate::retune::Tuning;
 use crate::upgrade::{self, Before, Held, Lifted};
+use ::fleet::{Stand, RATES_MAX};
 use attempt::Carrier;
 use bytes::Bytes;
 use dewlever::api::{Outcome, Request, Settings, WorkerId};
@@ -56,6 +59,7 @@
 struct Platform {
     carrier: Arc<Carrier>,
     lifted: Arc<Mutex<Vec<Lifted>>>,
+    peers: Option<Peers>,
 }
 
 impl Front for Platform {
@@ -96,6 +100,12 @@
     fn release(&mut self, worker: WorkerId) {
         self.carrier.pool.release(worker);
     }
+
+    fn tell(&mut self, to: u32, rates: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.tell(to, rates);
+        }
+    }
 }
 
 /// What ties the front to its process.
@@ -114,17 +124,63 @@
     pub before: Option<Before>,
     /// Where the next one asks.
     pub place: Option<PathBuf>,
+    /// The talk between nodes, where it is on.
+    pub fleet: Option<fleet::Handle>,
 }
 
-/// The settings with what this wire adds: a worker answers 200 once it has taken a job.
-fn platform(settings: Settings) -> Settings {
-    Settings { tells_taken: true, ..settings }
+/// The settings with what this wire adds: a worker answers 200 once it has taken a job; and with what the fleet tells.
+fn platform(settings: Settings, stand: Option<&Stand>) -> Settings {
+    let settings = Settings { tells_taken: true, ..settings };
+    match stand.filter(|s| !s.names.is_empty()) {
+        Some(stand) => Settings {
+            siblings: stand.siblings,
+            ordinal: stand.ordinal,
+            most_senders: stand.senders,
+            order: number_of(&stand.names.join("\n")),
+            ..settings
+        },
+        None => settings,
+    }
+}
+
+/// What other nodes are told, and tell: by name on the wire, by number in the module.
+struct Peers {
+    fleet: fleet::Handle,
+    stand: watch::Receiver<Stand>,
+    names: watch::Receiver<Arc<Names>>,
+}
+
+impl Peers {
+    fn tell(&self, to: u32, rates: &[u8]) {
+        let (stand, names) = (self.stand.borrow(), self.names.borrow());
+        let tenants = names.tenants.iter().map(|t| number_of(t));
+        let rates = rates.chunks_exact(2).map(|r| u16::from_be_bytes([r[0], r[1]]));
+        let rates: Vec<_> = tenants.zip(rates).collect();
+        // Of more tenants than go into one datagram, a part would pass for all of them.
+        if let Some(to) = stand.names.get(to as usize).filter(|_| rates.len() <= RATES_MAX) {
+            self.fleet.tell((to.clone(), rates));
+        }
+    }
+
+    /// Brings what others tell to the core, as long as they talk.
+    async fn follow(self, handle: Handle<Job>) {
+        let Some(mut told) = self.fleet.rates() else { return };
+        while let Some((from, rates)) = told.recv().await {
+            let from = self.stand.borrow().names.iter().position(|n| *n == from);
+            let rates: HashMap<u64, u16> = rates.into_iter().collect();
+            let names = self.names.borrow().clone();
+            let of = |tenant: &String| rates.get(&number_of(tenant)).copied().unwrap_or(0);
+            if let Some(from) = from {
+                handle.peer(from as u32, names.tenants.iter().flat_map(|t| of(t).to_be_bytes()).collect());
+            }
+        }
+    }
 }
 
 /// Serves the platform, with discovery where `discovery` says at each moment, until the node is told to stop, or
 /// another process has taken its place, and all that was taken is answered.
 pub async fn serve(config: Config, listener: TcpListener, links: Links) -> Result<(), String> {
-    let Links { counters, phases, discovery, mut tuning, ready, before, place } = links;
+    let Links { counters, phases, discovery, mut tuning, ready, before, place, fleet } = links;
     let Config { seed, limits, .. } = config;
     let Tuning { settings, names: first } = tuning.borrow_and_update().clone();
     let (tell_names, names) = watch::channel(Arc::new(first.clone()));
@@ -141,12 +197,15 @@
     let stock = Arc::new(Stock::new(handle.clone(), limits, other, connect, idle, counters.clone()));
     let pool = stock.pool.clone();
     let carrier = Arc::new(Carrier { handle: handle.clone(), pool: pool.clone(), names: names.clone() });
-    let core = Dispatcher::new(
-        platform(settings),
-        seed,
-        Platform { carrier, lifted: stock.lifted.clone() },
-        counters.clone(),
-    );
+    let peers = || {
+        let names = names.clone();
+        fleet.as_ref().map(|f| Peers { fleet: f.clone(), stand: f.stand(), names })
+    };
+    if let Some(peers) = peers() {
+        tokio::spawn(peers.follow(handle.clone()));
+    }
+    let front = Platform { carrier, lifted: stock.lifted.clone(), peers: peers() };
+    let core = Dispatcher::new(platform(settings, None), seed, front, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
@@ -162,15 +221,30 @@
     tokio::spawn(lists.follow(discovery, known));
     tokio::spawn({
         let (handle, pool) = (handle.clone(), stock.pool.clone());
+        let mut stand = fleet.as_ref().map(|f| f.stand());
         async move {
-            while tuning.changed().await.is_ok() {
+            loop {
+                let moved = async {
+                    if let Some(stand) = &mut stand {
+                        if stand.changed().await.is_ok() {
+                            return;
+                        }
+                    }
+                    std::future::pending().await
+                };
+                tokio::select! {
+                    Ok(()) = tuning.changed() => {}
+                    () = moved => {}
+                }
                 let Tuning { settings, names } = tuning.borrow_and_update().clone();
                 pool.times(names.connect_timeout, names.conn_idle);
+                let stand = stand.as_mut().map(|s| s.borrow_and_update().clone());
                 // The core first: no request may come with a class that it has not heard of.
-                handle.settings(platform(settings), names.continues.clone());
-                tell_names.send_replace(Arc::new(names));
+                handle.settings(platform(settings, stand.as_ref()), names.continues.clone());
+                if **tell_names.borrow() != names {
+                    tell_names.send_replace(Arc::new(names));
+                }
             }
-            std::future::pending::<()>().await; // holds the names for those that look at them
         }
     });
     let listener = Arc::new(listener);
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -1,10 +1,10 @@
 //! Connections to workers: one request at a time on each, idle ones kept for a while.
 
-use crate::list::Member;
 use super::meter::{Meter, Metered, Written};
 use super::moving::Adopted;
 use super::socket::{Leash, Socket};
 use crate::counters::Counters;
+use crate::list::Member;
 use bytes::Bytes;
 use dewlever::api::WorkerId;
 use http_body_util::Full;
--- a/node/src/platform/stock.rs
+++ b/node/src/platform/stock.rs
@@ -1,7 +1,6 @@
 //! What the front may hold: descriptors of clients and workers, memory for bodies, and the ids and the list that
 //! go to the process that takes its place. While two processes are one node, both share what `limits` allows.
 
-use crate::list::ListBody;
 use super::open::Ids;
 use super::pool::Pool;
 use super::room::Room;
@@ -9,6 +8,7 @@
 use crate::config::Limits;
 use crate::counters::Counters;
 use crate::dispatcher::Handle;
+use crate::list::ListBody;
 use crate::upgrade::{Held, Holder, Lifted, State};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Sources, Told};
 use crate::retune::{lacks, Tuning};
+use fleet::keys::Keys;
 use std::net::SocketAddr;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -12,6 +13,7 @@
     running: Told,
     discovery: watch::Sender<Option<SocketAddr>>,
     tuning: watch::Sender<Tuning>,
+    keys: watch::Sender<Option<Keys>>,
 }
 
 impl Reload {
@@ -20,7 +22,8 @@
         let at = started.config.as_ref().map(|c| c.discovery);
         let tuning = started.config.as_ref().map(|c| c.tuning.clone()).unwrap_or_default();
         let (discovery, tuning) = (watch::Sender::new(at), watch::Sender::new(tuning));
-        Reload { sources, running: started, discovery, tuning }
+        let keys = watch::Sender::new(started.fleet.as_ref().map(|t| t.keys.clone()));
+        Reload { sources, running: started, discovery, tuning, keys }
     }
 
     /// Where discovery listens, as of now; `None` where no front asks it.
@@ -33,6 +36,11 @@
         self.tuning.subscribe()
     }
 
+    /// The keys of the talk between nodes, as of now; `None` where there is none.
+    pub fn keys(&self) -> watch::Receiver<Option<Keys>> {
+        self.keys.subscribe()
+    }
+
     /// Reads everything again at each SIGHUP, as long as the process lives. Guards against a node that ends on
     /// SIGHUP: from here on the signal has a handler, whichever fronts run and whatever phase it is.
     pub fn on_signal(mut self) -> std::io::Result<()> {
@@ -73,6 +81,10 @@
             }
             old.text = new.text.clone();
         }
+        let keys = newer.fleet.as_ref().map(|t| t.keys.clone());
+        if self.keys.send_if_modified(|old| std::mem::replace(old, keys.clone()) != keys) {
+            changed.push("new keys for the talk between nodes".to_string());
+        }
         let lasting = self.running.lasting(&newer);
         if !lasting.is_empty() {
             changed.push(format!("changed, but in force only after a restart: {}", lasting.join(", ")));
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -2,8 +2,8 @@
 //! Unix socket, for its listener and what it knows; once it serves, the old one takes nothing new and answers
 //! what it has. What either holds counts for both, and the end of their link tells each of the other's end.
 
-use crate::phase::Phases;
 use crate::list::ListBody;
+use crate::phase::Phases;
 use crate::platform::socket::Leash;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -8,6 +8,9 @@
 use molevale::upgrade::Before;
 use molevale::{config, platform};
 use quickcheck::{Gen, QuickCheck};
+#[allow(unused_imports)] // each test file uses some of them
+pub use rig::wire::{self, request, settings};
+use rig::wire::{field, head, length};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -62,23 +65,6 @@
     phase.wait_for(|p| *p == Phase::Stopping || *p == Phase::Closing).await.unwrap();
 }
 
-/// Settings of two classes and one tenant, in the nested form of a node's configuration.
-pub fn settings(cancelling: bool, aim_us: u64) -> Value {
-    json!({
-        "Azs": ["ljubljana"], "HostTypes": ["gen-a"], "Siblings": 1, "ResolutionUs": 1000,
-        "Stats": {"Fields": ["err_ps", "depth", "x0"]},
-        "FamilyInfo": {"TellsStart": true, "ReportX0": "free_slots"},
-        "Limits": {"MaxAttempts": 3, "Cancelling": cancelling, "RetryAfter": true, "MaxRetryAfterUs": 2_000_000,
-            "ConnectTimeoutUs": 250_000, "ConnIdleUs": 60_000_000},
-        "Parties": [{"Name": "sava", "QuotaPerS": 1000.0, "Share": 1.0}],
-        "Profiles": [
-            {"Name": "check", "AimUs": aim_us, "DeadlineUs": aim_us.max(5_000_000), "Worth": 2.0, "Semantics": "safe"},
-            {"Name": "lodge", "AimUs": aim_us, "DeadlineUs": aim_us.max(8_000_000), "Worth": 5.0, "Semantics": "keyed",
-                "Group": "all", "RepeatWindowUs": 20_000_000},
-        ],
-    })
-}
-
 pub fn operator(aim_us: u64) -> Operator {
     let settings = settings(false, aim_us);
     let text = toml::to_string(&json!({"listen": "127.0.0.1:0", "settings": settings})).unwrap();
@@ -186,8 +172,7 @@
 
     /// This worker's line of the list.
     pub fn line(&self, id: &str, phase: &str) -> Value {
-        json!({"id": id, "host_port": self.0.local_addr().unwrap().to_string(), "locality": "ljubljana",
-            "flavor": "gen-a", "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0})
+        wire::line(id, self.0.local_addr().unwrap(), phase, 0)
     }
 
     /// The first request on a new connection.
@@ -237,26 +222,6 @@
     }
 }
 
-/// A head, in lower case names; `None` at the end of the connection.
-async fn head(stream: &mut (impl tokio::io::AsyncBufRead + Unpin)) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if stream.read_line(&mut head).await.ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
-fn field(head: &str, name: &str) -> Option<String> {
-    let line = head.lines().filter_map(|l| l.split_once(": ")).find(|(n, _)| n.eq_ignore_ascii_case(name))?;
-    Some(line.1.to_string())
-}
-
-fn length(head: &str) -> usize {
-    field(head, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0)
-}
-
 /// A stand-in for a client of the platform.
 pub struct Client(BufReader<TcpStream>);
 
@@ -284,7 +249,7 @@
         let head = head(&mut self.0).await?;
         let mut body = vec![0; length(&head)];
         self.0.read_exact(&mut body).await.ok()?;
-        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let status = wire::status(&head)?;
         Some(Got { status, head, body: String::from_utf8(body).ok()? })
     }
 
@@ -294,16 +259,6 @@
     }
 }
 
-/// A request of a client, with this body; `lodge` carries a key.
-pub fn request(class: &str, id: &str, deadline: f64, body: &str) -> String {
-    let key = if class == "lodge" { "Idempotency-Key: k1\r\n" } else { "" };
-    format!(
-        "POST /{class}?user=00ff&x=a%20b HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\n\
-         X-Class: {class}\r\nX-Tenant: sava\r\nX-Deadline: {deadline:.3}\r\n{key}Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 /// In place of a list: discovery has no time for the call.
 const TURNED_AWAY: &str = "busy";
 
@@ -384,6 +339,7 @@
             ready,
             before,
             place,
+            fleet: None,
         };
         let served = tokio::spawn(platform::serve(config, listener, links));
         is_ready.wait_for(|ready| *ready).await.unwrap();
--- /dev/null
+++ b/rig/src/emulated.rs
@@ -0,0 +1,406 @@
+//! Many machines of the fleet in emulated time, in one thread: the same seed gives the same run to the last byte. What
+//! passes between them goes by the rules that the relays of real processes have, too.
+
+use crate::check::{faults, Fault, Truth};
+use crate::relay::Rule;
+use fleet::keys::Keys;
+use fleet::{Action, Birth, Config, Figures, Machine, Note, Timing, View};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// What the kernel keeps for a process that reads nothing, in datagrams.
+const KERNEL: usize = 256;
+/// On its way at least: a datagram is never there before it was sent.
+const WIRE: Duration = Duration::from_micros(200);
+
+/// What a world is made of.
+#[derive(Clone)]
+pub struct Spec {
+    /// Nodes.
+    pub nodes: usize,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// How often and for how long.
+    pub timing: Timing,
+    /// How many of the first nodes are everybody's seeds.
+    pub seeds: usize,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Spec { nodes: 5, seed: 1, timing: Timing::default(), seeds: 3 }
+    }
+}
+
+enum Event {
+    Datagram { to: usize, bytes: Vec<u8> },
+    Exchange { from: usize, boot: u64, to: SocketAddr },
+    Wake(usize),
+}
+
+struct Node {
+    machine: Option<Machine>,
+    started: Duration,
+    boot: u64,
+    stopped: bool,
+    inbox: VecDeque<Vec<u8>>,
+    wake: Option<Duration>,
+    keys: Keys,
+    /// The node's clock is ahead of the world's by so many milliseconds, or behind.
+    skew_ms: i64,
+}
+
+/// What a node noted, when.
+pub type Noted = (Duration, usize, Note);
+
+/// Many machines and what lies between them.
+pub struct World {
+    spec: Spec,
+    now: Duration,
+    nodes: Vec<Node>,
+    at: HashMap<SocketAddr, usize>,
+    queue: BTreeMap<(Duration, u64), Event>,
+    order: u64,
+    rules: HashMap<(usize, usize), Rule>,
+    everywhere: Rule,
+    rng: SmallRng,
+    /// What the nodes noted; who looks at it clears it.
+    pub notes: Vec<Noted>,
+}
+
+/// The name of a node.
+pub fn name(i: usize) -> String {
+    format!("n{i:04}")
+}
+
+/// Where a node is reached.
+pub fn address(i: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 9, (i / 250) as u8, (i % 250 + 1) as u8), 7946))
+}
+
+/// A key for tests, one for each number.
+pub fn key(n: u8) -> Keys {
+    Keys::parse(&format!("current {}", format!("{n:02x}").repeat(16))).expect("it is well-formed")
+}
+
+impl World {
+    /// All nodes, none of them started.
+    pub fn new(spec: Spec) -> World {
+        let node = |_| Node {
+            machine: None,
+            started: Duration::ZERO,
+            boot: 0,
+            stopped: false,
+            inbox: VecDeque::new(),
+            wake: None,
+            keys: key(1),
+            skew_ms: 0,
+        };
+        World {
+            now: Duration::ZERO,
+            nodes: (0..spec.nodes).map(node).collect(),
+            at: (0..spec.nodes).map(|i| (address(i), i)).collect(),
+            queue: BTreeMap::new(),
+            order: 0,
+            rules: HashMap::new(),
+            everywhere: Rule::default(),
+            rng: SmallRng::seed_from_u64(spec.seed),
+            notes: Vec::new(),
+            spec,
+        }
+    }
+
+    /// All nodes, started at once.
+    pub fn started(spec: Spec) -> World {
+        let mut world = World::new(spec);
+        (0..world.nodes.len()).for_each(|i| world.start(i));
+        world
+    }
+
+    /// The world's time.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The key that a node has at its next start.
+    pub fn set_key(&mut self, i: usize, keys: Keys) {
+        self.nodes[i].keys = keys;
+    }
+
+    /// By how much a node's clock is off at its next start.
+    pub fn set_skew(&mut self, i: usize, ms: i64) {
+        self.nodes[i].skew_ms = ms;
+    }
+
+    /// Starts a process, in place of one that may run there. It has the name of `i`.
+    pub fn start(&mut self, i: usize) {
+        self.start_as(i, &name(i));
+    }
+
+    /// The same, under another name.
+    pub fn start_as(&mut self, i: usize, name: &str) {
+        let node = &mut self.nodes[i];
+        let unix_ms = 1_700_000_000_000 + self.now.as_millis() as i64 + node.skew_ms;
+        let birth = Birth { boot: self.rng.random(), unix_ms: unix_ms as u64, seed: self.rng.random() };
+        let config = Config {
+            fleet: "emulated".to_string(),
+            name: name.to_string(),
+            zone: String::new(),
+            advertise: address(i),
+            seeds: (0..self.spec.seeds).map(address).collect(),
+            keys: node.keys.clone(),
+            timing: self.spec.timing.clone(),
+        };
+        node.machine = Some(Machine::new(config, birth, Duration::ZERO));
+        (node.started, node.boot, node.stopped, node.wake) = (self.now, birth.boot, false, None);
+        node.inbox.clear();
+        self.after(i);
+    }
+
+    /// Kills a process: nobody is told.
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i].machine = None;
+        self.nodes[i].inbox.clear();
+    }
+
+    /// Ends a process as SIGTERM does.
+    pub fn leave(&mut self, i: usize) {
+        let now = self.local(i);
+        if let Some(machine) = &mut self.nodes[i].machine {
+            machine.leave(now);
+        }
+        self.after(i);
+        self.kill(i);
+    }
+
+    /// Stops a process where it stands.
+    pub fn stop(&mut self, i: usize) {
+        self.nodes[i].stopped = true;
+    }
+
+    /// Lets it go on: first it reads what the kernel kept.
+    pub fn go_on(&mut self, i: usize) {
+        self.nodes[i].stopped = false;
+        let now = self.local(i);
+        for bytes in std::mem::take(&mut self.nodes[i].inbox) {
+            if let Some(machine) = &mut self.nodes[i].machine {
+                machine.datagram(now, &bytes);
+            }
+        }
+        self.nodes[i].wake = None;
+        self.after(i);
+    }
+
+    /// Whether a process runs there and is not stopped.
+    pub fn runs(&self, i: usize) -> bool {
+        self.nodes[i].machine.is_some() && !self.nodes[i].stopped
+    }
+
+    /// Whether a process is there, stopped or not.
+    pub fn is_there(&self, i: usize) -> bool {
+        self.nodes[i].machine.is_some()
+    }
+
+    /// The machine of a node, to do something with; what it wants done then is carried out.
+    pub fn with<T>(&mut self, i: usize, what: impl FnOnce(&mut Machine, Duration) -> T) -> Option<T> {
+        let now = self.local(i);
+        let result = self.nodes[i].machine.as_mut().map(|m| what(m, now));
+        self.after(i);
+        result
+    }
+
+    /// From now on this rule holds from one node to another.
+    pub fn rule(&mut self, from: usize, to: usize, rule: Rule) {
+        self.rules.insert((from, to), rule);
+    }
+
+    /// From now on this rule holds wherever no other does.
+    pub fn everywhere(&mut self, rule: Rule) {
+        self.everywhere = rule;
+    }
+
+    /// Nothing passes between nodes of different parts.
+    pub fn part(&mut self, parts: &[u32]) {
+        for (from, a) in parts.iter().enumerate() {
+            for (to, b) in parts.iter().enumerate().filter(|(to, _)| *to != from) {
+                self.rules.insert((from, to), Rule { cut: a != b, ..self.everywhere });
+            }
+        }
+    }
+
+    /// Everything passes again.
+    pub fn heal(&mut self) {
+        self.rules.clear();
+        self.everywhere = Rule::default();
+    }
+
+    /// Brings bytes to a node, as somebody unknown might.
+    pub fn inject(&mut self, to: usize, bytes: &[u8]) {
+        self.put(WIRE, Event::Datagram { to, bytes: bytes.to_vec() });
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= end) {
+            self.now = entry.key().0;
+            match entry.remove() {
+                Event::Datagram { to, bytes } => self.arrive(to, bytes),
+                Event::Exchange { from, boot, to } => self.exchange(from, boot, to),
+                Event::Wake(i) => self.wake(i),
+            }
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until nothing is wrong and nothing was for as long as a suspicion that is under way may take; how
+    /// long it took until then, or what was wrong last after `most`. Looked at each 50 ms.
+    pub fn until(&mut self, most: Duration, truth: &Truth) -> Result<Duration, Vec<Fault>> {
+        let start = self.now;
+        let steady = self.spec.timing.probe * 2 + self.spec.timing.suspicion;
+        let (mut right_since, mut last) = (None, Vec::new());
+        loop {
+            let wrong = self.faults(truth);
+            if wrong.is_empty() {
+                let since = *right_since.get_or_insert(self.now);
+                if self.now - since >= steady {
+                    return Ok(since - start);
+                }
+            } else {
+                (right_since, last) = (None, wrong);
+            }
+            if right_since.is_none() && self.now - start >= most {
+                return Err(last);
+            }
+            self.run(Duration::from_millis(50));
+        }
+    }
+
+    /// What is wrong with the views beside this.
+    pub fn faults(&self, truth: &Truth) -> Vec<Fault> {
+        let views = (0..self.nodes.len()).filter_map(|i| Some((i, self.view(i)?)));
+        faults(truth, &views.map(|(_, v)| (v.node.clone(), Some(v))).collect())
+    }
+
+    /// All that run, in one part.
+    pub fn truth(&self) -> Truth {
+        let names: Vec<String> = (0..self.nodes.len()).filter(|i| self.runs(*i)).map(name).collect();
+        Truth::whole(names.iter().map(String::as_str))
+    }
+
+    /// A node's view; `None` where it does not run.
+    pub fn view(&self, i: usize) -> Option<View> {
+        self.nodes[i].machine.as_ref().filter(|_| !self.nodes[i].stopped).map(|m| m.view(self.local(i)))
+    }
+
+    /// A node's counters.
+    pub fn figures(&self, i: usize) -> Figures {
+        self.nodes[i].machine.as_ref().map(Machine::figures).unwrap_or_default()
+    }
+
+    fn local(&self, i: usize) -> Duration {
+        self.now - self.nodes[i].started
+    }
+
+    fn put(&mut self, after: Duration, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now + after, self.order), event);
+    }
+
+    fn arrive(&mut self, to: usize, bytes: Vec<u8>) {
+        let now = self.local(to);
+        let node = &mut self.nodes[to];
+        let Some(machine) = &mut node.machine else { return };
+        if node.stopped {
+            if node.inbox.len() < KERNEL {
+                node.inbox.push_back(bytes);
+            }
+            return;
+        }
+        machine.datagram(now, &bytes);
+        self.after(to);
+    }
+
+    fn wake(&mut self, i: usize) {
+        let now = self.local(i);
+        let node = &mut self.nodes[i];
+        if node.stopped || node.wake != Some(self.now) {
+            return;
+        }
+        node.wake = None;
+        if let Some(machine) = &mut node.machine {
+            machine.tick(now);
+        }
+        self.after(i);
+    }
+
+    fn exchange(&mut self, from: usize, boot: u64, to: SocketAddr) {
+        let Some(&other) = self.at.get(&to) else { return };
+        let open = |a, b| !self.rules.get(&(a, b)).unwrap_or(&self.everywhere).cut;
+        let same = self.nodes[from].boot == boot;
+        if other == from
+            || !same
+            || !open(from, other)
+            || !open(other, from)
+            || !self.runs(from)
+            || !self.runs(other)
+        {
+            return;
+        }
+        let (here, there) = (self.local(from), self.local(other));
+        let mut machine = |i: usize| self.nodes[i].machine.take();
+        let (Some(mut asks), Some(mut tells)) = (machine(from), machine(other)) else { return };
+        let challenge = tells.challenge();
+        let (asked, state) = asks.ask_state(here, to, challenge);
+        if let Some(answer) = tells.answer_state(there, challenge, &state) {
+            asks.take_state(here, asked, &answer);
+        }
+        (self.nodes[from].machine, self.nodes[other].machine) = (Some(asks), Some(tells));
+        self.after(from);
+        self.after(other);
+    }
+
+    /// Carries out what a machine wants done, and notes when it is to be woken.
+    fn after(&mut self, i: usize) {
+        let Some(mut machine) = self.nodes[i].machine.take() else { return };
+        while let Some(action) = machine.action() {
+            match action {
+                Action::Send { to, bytes } => self.send(i, to, bytes),
+                Action::Exchange { to } => {
+                    let boot = self.nodes[i].boot;
+                    self.put(WIRE * 4, Event::Exchange { from: i, boot, to });
+                }
+                Action::Rates { .. } => {}
+                Action::Note(note) => self.notes.push((self.now, i, note)),
+            }
+        }
+        let due = self.nodes[i].started.saturating_add(machine.due()).max(self.now);
+        let node = &mut self.nodes[i];
+        node.machine = Some(machine);
+        if node.wake.is_none_or(|at| due < at || at < self.now) {
+            node.wake = Some(due);
+            let after = due - self.now;
+            self.put(after, Event::Wake(i));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, mut bytes: Vec<u8>) {
+        let Some(&to) = self.at.get(&to) else { return };
+        let rule = *self.rules.get(&(from, to)).unwrap_or(&self.everywhere);
+        if rule.cut || self.rng.random_bool(rule.loss) {
+            return;
+        }
+        if self.rng.random_bool(rule.mutated) {
+            let bit = self.rng.random_range(0..bytes.len() * 8);
+            bytes[bit / 8] ^= 1 << (bit % 8);
+        }
+        for _ in 0..1 + usize::from(self.rng.random_bool(rule.twice)) {
+            let ms = rule.delay_ms + self.rng.random_range(0..=rule.jitter_ms);
+            let after = WIRE + Duration::from_millis(ms);
+            self.put(after, Event::Datagram { to, bytes: bytes.clone() });
+        }
+    }
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,1 +1,11 @@
-//! x
+//! Runs many processes of the program side by side on loopback addresses, with stand-ins for workers and discovery, an
+//! open-loop load of jobs, relays between any two nodes, and faults between them; and says whether what the nodes tell of
+//! each other is true. No node links it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod check;
+pub mod emulated;
+pub mod process;
+pub mod relay;
+pub mod wire;
--- /dev/null
+++ b/rig/src/process.rs
@@ -0,0 +1,130 @@
+//! One process of the program: started, stopped, continued, killed, and never left behind.
+
+use fleet::Shown;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// For an answer at the management address: one that gives none is stopped, or gone.
+const CALL_WAIT: Duration = Duration::from_secs(1);
+
+/// A process of the program; it ends with this value.
+pub struct Process {
+    child: Child,
+    /// Where operators call.
+    pub management: SocketAddr,
+    /// What it logs.
+    pub log: PathBuf,
+}
+
+impl Process {
+    /// Starts the program at `binary` in a folder of its own, with this configuration and these arguments.
+    pub fn start(binary: &Path, folder: &Path, config: &Value, arguments: &[&str]) -> io::Result<Process> {
+        std::fs::create_dir_all(folder)?;
+        let bad = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, what.to_string());
+        let text = |key: &str| config[key].as_str().ok_or_else(|| bad(key));
+        let management: SocketAddr = text("management")?.parse().map_err(|_| bad("management"))?;
+        // A process that takes over has a file of its own: the one before may read its own again.
+        let file = folder.join(format!("config-{}.json", management.port()));
+        std::fs::write(&file, config.to_string())?;
+        let log = folder.join(format!("log-{}", management.port()));
+        let out = File::options().create(true).append(true).open(&log)?;
+        let child = Command::new(binary)
+            .args(arguments)
+            .env_clear()
+            .env("RELAY_CONFIG", &file)
+            .env("TMPDIR", folder)
+            .env("MOLEVALE_LOG_FORMAT", "json")
+            .env("MOLEVALE_LOG", std::env::var("MOLEVALE_LOG").unwrap_or_else(|_| "info".into()))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(out)
+            .spawn()?;
+        Ok(Process { child, management, log })
+    }
+
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal; one that has ended hears nothing.
+    pub fn signal(&mut self, signal: Signal) {
+        // Asked first: a number whose process is reaped may be another's.
+        if let (Ok(None), Some(pid)) = (self.child.try_wait(), Pid::from_raw(self.child.id() as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Stops it where it stands.
+    pub fn stop(&mut self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&mut self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill(); // it may have ended by itself
+        let _ = self.child.wait();
+    }
+
+    /// How it ended, if it did.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// The processor time that it has used, in ticks of the kernel (of a hundredth second, mostly).
+    pub fn ticks(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        let fields: Vec<&str> = text.rsplit_once(')')?.1.split_whitespace().collect();
+        Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+    }
+
+    /// The memory that it holds, in KiB.
+    pub fn memory_kib(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
+    }
+
+    /// What it tells of its fleet.
+    pub async fn shown(&self) -> Option<Shown> {
+        let (status, body) = call(self.management, "GET", "/fleet").await?;
+        serde_json::from_slice(&body).ok().filter(|_| status == 200)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Calls a management address: status and body; `None` where no whole answer came.
+pub async fn call(at: SocketAddr, method: &str, path: &str) -> Option<(u16, Vec<u8>)> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(at).await.ok()?;
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: rig\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).await.ok()?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.ok()?;
+        let end = answer.windows(4).position(|w| w == b"\r\n\r\n")?;
+        let status = crate::wire::status(std::str::from_utf8(&answer[..end]).ok()?)?;
+        Some((status, answer.split_off(end + 4)))
+    };
+    timeout(CALL_WAIT, exchange).await.ok().flatten()
+}
--- /dev/null
+++ b/rig/src/wire.rs
@@ -0,0 +1,84 @@
+//! The platform's wire, as its public page tells it: what stand-ins and tests share.
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use tokio::io::{AsyncBufRead, AsyncBufReadExt};
+
+/// The longest head that a stand-in reads, in bytes.
+const HEAD_MAX: usize = 16 * 1024;
+
+/// A head, as it came; `None` at the end of the connection, or where it is no head.
+pub async fn head(stream: &mut (impl AsyncBufRead + Unpin)) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if head.len() > HEAD_MAX || stream.read_line(&mut head).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+/// A field of a head.
+pub fn field(head: &str, name: &str) -> Option<String> {
+    let line = head.lines().filter_map(|l| l.split_once(": ")).find(|(n, _)| n.eq_ignore_ascii_case(name))?;
+    Some(line.1.to_string())
+}
+
+/// The length of the body behind a head.
+pub fn length(head: &str) -> usize {
+    field(head, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// The status of an answer's head.
+pub fn status(head: &str) -> Option<u16> {
+    head.split(' ').nth(1)?.parse().ok()
+}
+
+/// A request of a client, with this body; `lodge` carries the key `k1`.
+pub fn request(class: &str, id: &str, deadline: f64, body: &str) -> String {
+    let key = if class == "lodge" { Some("k1") } else { None };
+    job(class, id, "sava", key, deadline, None, body)
+}
+
+/// A request of a client, with all that it may tell.
+pub fn job(
+    class: &str,
+    id: &str,
+    tenant: &str,
+    key: Option<&str>,
+    deadline: f64,
+    hint_us: Option<u64>,
+    body: &str,
+) -> String {
+    let key = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
+    let hint = hint_us.map_or(String::new(), |us| format!("X-Cost-Hint: {us}\r\n"));
+    format!(
+        "POST /{class}?user=00ff&x=a%20b HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\n\
+         X-Class: {class}\r\nX-Tenant: {tenant}\r\nX-Deadline: {deadline:.3}\r\n{key}{hint}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A worker's line of the list.
+pub fn line(id: &str, address: SocketAddr, phase: &str, since_ms: u64) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "ljubljana", "flavor": "gen-a", "cell": 0,
+        "phase": phase, "size": 1.0, "up_since_ms": since_ms})
+}
+
+/// Settings of two classes and one tenant, in the nested form of a node's configuration.
+pub fn settings(cancelling: bool, aim_us: u64) -> Value {
+    json!({
+        "Azs": ["ljubljana"], "HostTypes": ["gen-a"], "Siblings": 1, "ResolutionUs": 1000,
+        "Stats": {"Fields": ["err_ps", "depth", "x0"]},
+        "FamilyInfo": {"TellsStart": true, "ReportX0": "free_slots"},
+        "Limits": {"MaxAttempts": 3, "Cancelling": cancelling, "RetryAfter": true, "MaxRetryAfterUs": 2_000_000,
+            "ConnectTimeoutUs": 250_000, "ConnIdleUs": 60_000_000},
+        "Parties": [{"Name": "sava", "QuotaPerS": 1000.0, "Share": 1.0}],
+        "Profiles": [
+            {"Name": "check", "AimUs": aim_us, "DeadlineUs": aim_us.max(5_000_000), "Worth": 2.0, "Semantics": "safe"},
+            {"Name": "lodge", "AimUs": aim_us, "DeadlineUs": aim_us.max(8_000_000), "Worth": 5.0, "Semantics": "keyed",
+                "Group": "all", "RepeatWindowUs": 20_000_000},
+        ],
+    })
+}
--- /dev/null
+++ b/rig/tests/emulated.rs
@@ -0,0 +1,311 @@
+//! The fleet's machines in emulated time: hard cases one by one, then random schedules against a plain model.
+
+use fleet::{Note, Status, Timing};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use rig::check::Truth;
+use rig::emulated::{address, key, name, Spec, World};
+use rig::relay::Rule;
+use std::time::Duration;
+
+const S: Duration = Duration::from_secs(1);
+
+/// A fleet that has settled.
+fn fleet(nodes: usize, seed: u64) -> World {
+    let mut world = World::started(Spec { nodes, seed, ..Spec::default() });
+    settled(&mut world, 20 * S);
+    world
+}
+
+/// All that run come to equal and true views within this time, and keep them.
+fn settled(world: &mut World, bound: Duration) -> Duration {
+    let truth = world.truth();
+    let took = world.until(bound, &truth).unwrap_or_else(|wrong| panic!("after {bound:?}: {wrong:?}"));
+    stays(world, &truth);
+    took
+}
+
+fn stays(world: &mut World, truth: &Truth) {
+    for _ in 0..20 {
+        world.run(S / 2);
+        assert_eq!(world.faults(truth), [], "it settled and did not stay so");
+    }
+}
+
+fn status(world: &World, viewer: usize, of: usize) -> Option<Status> {
+    world.view(viewer)?.members.iter().find(|m| m.name == name(of)).map(|m| m.status)
+}
+
+#[test]
+fn nodes_find_each_other_through_seeds_and_a_restart_is_a_new_life() {
+    let mut world = fleet(10, 1);
+    let before = world.view(3).unwrap().incarnation;
+    // Restarted before anybody noticed that it died.
+    world.kill(3);
+    world.run(S / 10);
+    world.start(3);
+    settled(&mut world, 10 * S);
+    assert!(world.view(3).unwrap().incarnation > before);
+    assert!(world.notes.iter().all(|(_, _, note)| !matches!(note, Note::Down(_))), "nobody held it dead");
+}
+
+#[test]
+fn a_third_killed_at_once_is_noticed_and_all_restarted_at_once_come_back() {
+    let mut world = fleet(12, 2);
+    (0..4).for_each(|i| world.kill(i)); // all seeds are among them
+    settled(&mut world, 40 * S);
+    assert_eq!(status(&world, 9, 0), Some(Status::Dead));
+    (0..12).for_each(|i| world.kill(i));
+    world.run(S);
+    (0..12).for_each(|i| world.start(i));
+    settled(&mut world, 20 * S);
+}
+
+#[test]
+fn halves_hold_each_other_dead_and_find_each_other_again() {
+    let mut world = fleet(10, 3);
+    let parts: Vec<u32> = (0..10).map(|i| i % 2).collect();
+    world.part(&parts);
+    let mut truth = world.truth();
+    truth.parts.values_mut().enumerate().for_each(|(i, part)| *part = i as u32 % 2);
+    world.until(60 * S, &truth).unwrap();
+    stays(&mut world, &truth);
+    world.heal();
+    settled(&mut world, 20 * S);
+}
+
+/// Both in one cut: one direction only, and a node that reaches half of the others.
+#[test]
+fn a_node_that_others_reach_in_part_or_one_way_only_is_lost_to_nobody_for_good() {
+    let mut world = fleet(9, 4);
+    for to in 1..9 {
+        let half = to % 2 == 0;
+        world.rule(0, to, Rule { cut: half, ..Rule::default() });
+        world.rule(to, 0, Rule { cut: half, ..Rule::default() });
+    }
+    // Others reach it for those that can't: nobody drops it.
+    for _ in 0..30 {
+        world.run(S);
+        assert!((1..9).all(|i| status(&world, i, 0).is_some_and(Status::there)));
+    }
+    world.heal();
+    for to in 1..9 {
+        world.rule(0, to, Rule { cut: true, ..Rule::default() });
+    }
+    world.run(30 * S);
+    world.heal();
+    settled(&mut world, 20 * S);
+}
+
+#[test]
+fn a_fifth_of_all_datagrams_lost_for_a_minute_holds_nobody_dead_for_good() {
+    let mut world = fleet(10, 5);
+    world.everywhere(Rule { loss: 0.2, twice: 0.1, jitter_ms: 50, ..Rule::default() });
+    world.run(60 * S);
+    let deaths = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Down(_))).count();
+    assert!(deaths <= 9, "{deaths} times somebody was held dead: more than one wrong death, told to all");
+    world.heal();
+    settled(&mut world, 20 * S);
+}
+
+#[test]
+fn a_process_that_stood_still_learns_that_it_was_held_dead_and_comes_back() {
+    let mut world = fleet(8, 6);
+    world.stop(5);
+    let truth = world.truth();
+    world.until(40 * S, &truth).unwrap();
+    assert_eq!(status(&world, 0, 5), Some(Status::Dead));
+    world.run(30 * S);
+    world.notes.clear();
+    world.go_on(5);
+    settled(&mut world, 20 * S);
+    assert!(world.notes.iter().any(|(_, i, n)| *i == 5 && matches!(n, Note::Returned(_))));
+    // What others did not answer while it stood still is not held against them.
+    assert!(world.notes.iter().all(|(_, _, n)| !matches!(n, Note::Down(_))), "{:?}", world.notes);
+}
+
+/// Guards against a second process that is started under a name by mistake: the newer one counts, the older one says so
+/// and keeps out, and comes back when the newer one has gone.
+#[test]
+fn of_two_processes_with_one_name_one_yields_and_the_views_do_not_flap() {
+    let mut world = World::new(Spec { nodes: 8, seed: 7, ..Spec::default() });
+    (0..7).for_each(|i| world.start(i));
+    world.run(20 * S);
+    world.notes.clear();
+    world.start_as(7, &name(4));
+    world.run(20 * S);
+    let yielded = |world: &World, i: usize| world.view(i).unwrap().yielded_to;
+    assert_eq!((yielded(&world, 4), yielded(&world, 7)), (Some(address(7)), None));
+    let said: Vec<usize> = world
+        .notes
+        .iter()
+        .filter(|(_, _, n)| matches!(n, Note::Rival(_) | Note::Yielded(_)))
+        .map(|(_, i, _)| *i)
+        .collect();
+    assert!(said.contains(&4), "{said:?}");
+    let seen = |world: &World, by: usize| {
+        let line = world.view(by).unwrap().members.into_iter().find(|m| m.name == name(4)).unwrap();
+        (line.address, line.incarnation, line.status)
+    };
+    let first = seen(&world, 0);
+    assert_eq!((first.0, first.2), (address(7), Status::Alive));
+    for _ in 0..60 {
+        world.run(S);
+        assert!((0..7).filter(|i| *i != 4).all(|i| seen(&world, i) == first), "a view flaps");
+    }
+    world.kill(7);
+    settled(&mut world, 60 * S);
+    assert_eq!(seen(&world, 0).0, address(4));
+}
+
+#[test]
+fn a_clock_that_was_set_back_between_two_starts_costs_a_moment() {
+    let mut world = fleet(6, 8);
+    world.kill(2);
+    world.set_skew(2, -86_400_000);
+    world.start(2);
+    settled(&mut world, 20 * S);
+    world.kill(2);
+    world.set_skew(2, 86_400_000);
+    world.start(2);
+    settled(&mut world, 20 * S);
+    world.kill(2);
+    world.set_skew(2, 0);
+    world.run(60 * S);
+    world.start(2);
+    settled(&mut world, 20 * S);
+}
+
+#[test]
+fn a_node_that_leaves_on_purpose_is_not_held_to_have_crashed() {
+    let mut world = fleet(8, 9);
+    world.with(3, |m, now| m.phase(now, true));
+    world.run(5 * S);
+    assert!((0..8).all(|i| status(&world, i, 3) == Some(Status::Draining)));
+    world.leave(3);
+    settled(&mut world, 10 * S);
+    assert!((0..8).filter(|i| *i != 3).all(|i| status(&world, i, 3) == Some(Status::Left)));
+    assert!(world.notes.iter().all(|(_, _, n)| !matches!(n, Note::Down(_))));
+    let senders = world.with(0, |m, now| m.stand(now, 1).senders).unwrap();
+    assert_eq!(senders, 7, "who left sends no more");
+}
+
+#[test]
+fn names_that_come_and_go_are_forgotten() {
+    let timing = Timing { forget: 60 * S, ..Timing::default() };
+    let mut world = World::started(Spec { nodes: 8, seed: 10, timing, ..Spec::default() });
+    world.run(10 * S);
+    for round in 0..40 {
+        world.start_as(7, &format!("pod-{round}"));
+        world.run(10 * S);
+        match round % 2 {
+            0 => world.leave(7),
+            _ => world.kill(7),
+        }
+        world.run(5 * S);
+        // Newcomers are told of the dead by those that know them: that must not keep a name for ever.
+        world.kill(6);
+        world.start(6);
+        let most = (0..7).filter_map(|i| world.view(i)).map(|v| v.members.len()).max().unwrap();
+        assert!(most <= 7 + 8, "{most} names after round {round}");
+    }
+    world.run(150 * S);
+    assert!((0..7).all(|i| world.view(i).unwrap().members.len() == 7));
+}
+
+/// A datagram that is not what it seems changes nothing, whatever is wrong with it.
+#[test]
+fn forged_foreign_and_mutated_datagrams_change_nothing() {
+    let mut world = World::new(Spec { nodes: 7, seed: 11, ..Spec::default() });
+    world.set_key(6, key(2)); // the wrong one
+    (0..7).for_each(|i| world.start(i));
+    world.run(10 * S);
+    let names: Vec<String> = (0..6).map(name).collect();
+    let truth = Truth::whole(names.iter().map(String::as_str));
+    world.until(10 * S, &truth).unwrap();
+    let refused = |world: &World| (0..6).map(|i| world.figures(i).refused.seal).sum::<u64>();
+    assert!(refused(&world) > 0, "what the one with the wrong key sends");
+    world.everywhere(Rule { mutated: 0.1, ..Rule::default() });
+    let mut rng = SmallRng::seed_from_u64(11);
+    for _ in 0..200 {
+        let length = rng.random_range(0..2000);
+        let bytes: Vec<u8> = (0..length).map(|_| rng.random()).collect();
+        world.inject(rng.random_range(0..6), &bytes);
+        world.run(S / 10);
+    }
+    assert_eq!(world.faults(&truth), []);
+    let refused = world.figures(0).refused;
+    assert!(refused.oversized > 0 && refused.malformed > 0, "{refused:?}");
+}
+
+/// The drawn faults of one schedule, and a plain model of them: who runs, and who can talk to whom.
+fn walk(seed: u64, most: usize) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let n = rng.random_range(3..=most);
+    let mut world = World::started(Spec { nodes: n, seed, ..Spec::default() });
+    world.run(Duration::from_millis(rng.random_range(0..15_000)));
+    // Those that died and were not started again since: in whose view they are not there, they stay so.
+    let mut killed: Vec<bool> = vec![false; n];
+    let mut buried: Vec<Vec<bool>> = vec![vec![false; n]; n];
+    for _ in 0..rng.random_range(3..12) {
+        let i = rng.random_range(0..n);
+        match rng.random_range(0..10) {
+            0 | 1 => {
+                world.kill(i);
+                killed[i] = true;
+            }
+            2 => {
+                world.start(i);
+                killed[i] = false;
+                buried[i].fill(false);
+                buried.iter_mut().for_each(|b| b[i] = false);
+            }
+            3 if world.runs(i) => world.stop(i),
+            4 if !world.runs(i) && world.is_there(i) => world.go_on(i),
+            5 => {
+                let parts: Vec<u32> = (0..n).map(|_| rng.random_range(0..3)).collect();
+                world.part(&parts);
+            }
+            6 => world.heal(),
+            7 => {
+                let to = rng.random_range(0..n);
+                world.rule(i, to, Rule { cut: true, ..Rule::default() });
+            }
+            8 => {
+                let (loss, jitter_ms) = (rng.random::<f64>() * 0.4, rng.random_range(0..200));
+                world.everywhere(Rule { loss, jitter_ms, twice: 0.1, mutated: 0.01, ..Rule::default() });
+            }
+            _ => {}
+        }
+        for _ in 0..rng.random_range(1..10) {
+            world.run(S);
+            for viewer in (0..n).filter(|v| world.runs(*v)) {
+                let view = world.view(viewer).unwrap();
+                for dead in (0..n).filter(|d| killed[*d]) {
+                    let there = view.there().any(|m| m == name(dead));
+                    assert!(
+                        !(there && buried[viewer][dead]),
+                        "seed {seed}: {dead} rose from the dead at {viewer}"
+                    );
+                    buried[viewer][dead] |= !there && view.members.iter().any(|m| m.name == name(dead));
+                }
+            }
+        }
+    }
+    world.heal();
+    (0..n)
+        .filter(|i| world.is_there(*i) && !world.runs(*i))
+        .collect::<Vec<_>>()
+        .into_iter()
+        .for_each(|i| world.go_on(i));
+    let truth = world.truth();
+    let took = world.until(60 * S, &truth);
+    assert!(took.is_ok(), "seed {seed}, {n} nodes: {:?}", took.unwrap_err());
+    stays(&mut world, &truth);
+}
+
+#[test]
+fn random_schedules_settle_after_the_last_fault() {
+    (0..60).for_each(|seed| walk(seed, 12));
+    (1000..1004).for_each(|seed| walk(seed, 60));
+}
--- a/src/bin/dewlever-drill/codec.rs
+++ b/src/bin/dewlever-drill/codec.rs
@@ -58,7 +58,7 @@
     pub fn parse(header: &[u8; HEADER], body: Vec<u8>) -> Result<Batch, String> {
         let head = Record(header);
         let count = head.u32(16)? as usize;
-        if count.checked_mul(EVENT).map_or(true, |n| n > body.len()) {
+        if count.checked_mul(EVENT).is_none_or(|n| n > body.len()) {
             return Err(format!("a frame states {count} records but holds {} bytes", body.len()));
         }
         Ok(Batch { serial: head.u32(0)?, now: head.u64(4)?, body, count })
--- a/src/support.rs
+++ b/src/support.rs
@@ -58,7 +58,7 @@
 
     /// The next entry that is due.
     pub fn next(&mut self, now: Time) -> Option<T> {
-        if self.heap.peek().map_or(true, |Reverse((at, _))| *at > now) {
+        if self.heap.peek().is_none_or(|Reverse((at, _))| *at > now) {
             return None;
         }
         self.heap.pop().map(|Reverse((_, what))| what)
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -112,7 +112,7 @@
             Action::Refuse { id, .. } => {
                 let job = self.jobs.get_mut(id).expect("a known request");
                 assert!(!std::mem::replace(&mut job.over, true), "a second final answer");
-                let may_run = job.attempts.iter().any(|a| a.2.map_or(true, |o| !o.proves_unrun()));
+                let may_run = job.attempts.iter().any(|a| a.2.is_none_or(|o| !o.proves_unrun()));
                 let semantics = self.set.classes[job.class].semantics;
                 assert!(!may_run || matches!(semantics, Semantics::Safe | Semantics::Keyed(Group::All)));
             }
