--- a/Makefile
+++ b/Makefile
@@ -13,4 +13,8 @@
 run: build
 	target/release/molevale
 
-.PHONY: build test lint run
+# Five real processes with workers and load, one killed, one cut off: what each sees. Under a minute.
+fleet: build
+	target/release/rig demo --node target/release/molevale
+
+.PHONY: build test lint run fleet
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,7 +5,14 @@
 #![warn(missing_docs)]
 
 pub mod check;
+pub mod discovery;
 pub mod emulated;
+pub mod load;
+pub mod measure;
+pub mod plan;
 pub mod process;
 pub mod relay;
+pub mod show;
 pub mod wire;
+pub mod worker;
+pub mod yard;
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,134 @@
+//! `rig`: plays fault plans against real processes of the program, and measures the fleet in emulated time.
+
+use clap::{Parser, Subcommand};
+use rig::plan::{carry_out, Outcome, Plan};
+use rig::{measure, show};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Runs many processes of the program side by side, with faults between them.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Starts five nodes with workers and load, kills one, cuts one off, and prints what each sees.
+    Demo {
+        /// The program.
+        #[arg(long, default_value = "target/release/molevale")]
+        node: PathBuf,
+    },
+    /// Carries a fault plan out.
+    Play {
+        /// The plan.
+        plan: PathBuf,
+        /// The program.
+        #[arg(long, default_value = "target/release/molevale")]
+        node: PathBuf,
+        /// So many times, each with another seed.
+        #[arg(long, default_value_t = 1)]
+        times: u64,
+        /// In pairs: once with the nodes' talk and once without.
+        #[arg(long)]
+        paired: bool,
+    },
+    /// Measures the fleet in emulated time.
+    Measure {
+        /// Nodes.
+        #[arg(long, default_values_t = [10, 100, 1000])]
+        nodes: Vec<usize>,
+        /// Plays of each.
+        #[arg(long, default_value_t = 20)]
+        plays: u64,
+    },
+    /// Measures the talk of real processes, idle and with nothing else to do.
+    Idle {
+        /// The program.
+        #[arg(long, default_value = "target/release/molevale")]
+        node: PathBuf,
+        /// Nodes.
+        #[arg(long, default_value_t = 10)]
+        nodes: usize,
+        /// Plays of a kill.
+        #[arg(long, default_value_t = 10)]
+        plays: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let result = match Cli::parse().command {
+        Command::Demo { node } => runtime(show::demo(&node)),
+        Command::Measure { nodes, plays } => {
+            nodes.iter().for_each(|n| println!("{}", measure::emulated(*n, plays)));
+            Ok(())
+        }
+        Command::Play { plan, node, times, paired } => runtime(plays(plan, node, times, paired)),
+        Command::Idle { node, nodes, plays } => runtime(async move {
+            println!("{}", measure::real(&node, nodes, plays).await.map_err(|e| e.to_string())?);
+            Ok(())
+        }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("rig: {}", message.replace('\n', " "));
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn runtime(what: impl std::future::Future<Output = Result<(), String>>) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(what)
+}
+
+async fn plays(path: PathBuf, node: PathBuf, times: u64, paired: bool) -> Result<(), String> {
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    let mut plan = Plan::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let first = plan.seed;
+    for play in 0..times {
+        plan.seed = first + play;
+        let ways: &[bool] = if paired { &[true, false] } else { &[plan.fleet] };
+        for fleet in ways {
+            plan.fleet = *fleet;
+            let outcome =
+                carry_out(&plan, &node, |line| println!("  {line}")).await.map_err(|e| e.to_string())?;
+            println!(
+                "seed {} {}: {}",
+                plan.seed,
+                if *fleet { "with the view" } else { "without it" },
+                line(&outcome)
+            );
+        }
+    }
+    Ok(())
+}
+
+fn line(o: &Outcome) -> String {
+    let r = &o.report;
+    let settled = match &o.settled {
+        Ok(took) => format!("settled {took:.1?} after the load"),
+        Err(wrong) => format!("NOT SETTLED: {}", wrong[0]),
+    };
+    format!(
+        "worth {:.3}; {} due, {} in time, {} late, {} refused, {} failed, {} lost, {} nowhere; median {:.0} ms, \
+         99% {:.0} ms; {} cold workers fell, pressure {:.2}; {} keys done twice; {settled}",
+        r.worth,
+        r.due,
+        r.in_time,
+        r.late,
+        r.refused,
+        r.failed,
+        r.lost,
+        r.nowhere,
+        r.times.value_at_quantile(0.5) as f64 / 1e3,
+        r.times.value_at_quantile(0.99) as f64 / 1e3,
+        o.fell,
+        o.pressure,
+        o.twice
+    )
+}
--- /dev/null
+++ b/rig/src/measure.rs
@@ -0,0 +1,148 @@
+//! Measures the view: how long it takes to settle and what it costs.
+
+use crate::emulated::{name, Spec, World};
+use crate::yard::{self, Yard};
+use fleet::{Note, Status};
+use hdrhistogram::Histogram;
+use std::fmt;
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// What one size of fleet showed.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    nodes: usize,
+    plays: u64,
+    way: &'static str,
+    /// From a kill to the first node that holds the killed one dead, in milliseconds.
+    detected: Histogram<u64>,
+    /// From a kill until all hold it dead.
+    all: Histogram<u64>,
+    /// From a restart until all views are equal and true.
+    joined: Histogram<u64>,
+    false_deaths: u64,
+    messages: f64,
+    bytes: f64,
+    cpu: f64,
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let span = |h: &Histogram<u64>| {
+            format!("{:.1} / {:.1} s", h.value_at_quantile(0.5) as f64 / 1e3, h.max() as f64 / 1e3)
+        };
+        write!(
+            f,
+            "{} nodes, {}, {} plays: first to notice {}, all {}, joined {} (median / worst); {} false deaths; each node: \
+             {:.1} messages/s, {:.0} bytes/s, {:.3}% of a core",
+            self.nodes,
+            self.way,
+            self.plays,
+            span(&self.detected),
+            span(&self.all),
+            span(&self.joined),
+            self.false_deaths,
+            self.messages,
+            self.bytes,
+            self.cpu * 100.0
+        )
+    }
+}
+
+fn figures(nodes: usize, plays: u64, way: &'static str) -> Figures {
+    let none = || Histogram::new(3).expect("three digits are allowed");
+    let (detected, all, joined) = (none(), none(), none());
+    Figures { nodes, plays, way, detected, all, joined, false_deaths: 0, messages: 0.0, bytes: 0.0, cpu: 0.0 }
+}
+
+fn ms(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
+/// In emulated time, with the times that a node has by default.
+pub fn emulated(nodes: usize, plays: u64) -> Figures {
+    let mut figures = figures(nodes, plays, "emulated");
+    let mut world = World::started(Spec { nodes, ..Spec::default() });
+    world.run(Duration::from_secs(60));
+    let truth = world.truth();
+    let settled = world.until(Duration::from_secs(120), &truth);
+    assert!(settled.is_ok(), "the fleet does not settle: {settled:?}");
+    let total =
+        |w: &World| (0..nodes).map(|i| w.figures(i)).fold((0, 0), |t, f| (t.0 + f.sent, t.1 + f.sent_bytes));
+    let (before, real, calm) = (total(&world), Instant::now(), Duration::from_secs(30));
+    world.run(calm);
+    let after = total(&world);
+    let each = nodes as f64 * calm.as_secs_f64();
+    figures.messages = (after.0 - before.0) as f64 / each;
+    figures.bytes = (after.1 - before.1) as f64 / each;
+    // The emulator's own work is in it: it is an upper bound.
+    figures.cpu = real.elapsed().as_secs_f64() / each;
+    for play in 0..plays {
+        let victim = (play as usize * 7 + 3) % nodes;
+        world.notes.clear();
+        let killed = world.now();
+        world.kill(victim);
+        let truth = world.truth();
+        let all = world.until(Duration::from_secs(120), &truth);
+        let Ok(all) = all else { panic!("the fleet does not settle: {all:?}") };
+        let down = |n: &&(Duration, usize, Note)| matches!(&n.2, Note::Down(id) if id.name == name(victim));
+        let first = world.notes.iter().find(down).map_or(all, |n| n.0 - killed);
+        figures.detected.saturating_record(ms(first));
+        figures.all.saturating_record(ms(all));
+        world.start(victim);
+        let truth = world.truth();
+        let joined = world.until(Duration::from_secs(120), &truth);
+        let Ok(joined) = joined else { panic!("the fleet does not settle: {joined:?}") };
+        figures.joined.saturating_record(ms(joined));
+        figures.false_deaths +=
+            world.notes.iter().filter(|n| matches!(&n.2, Note::Down(id) if id.name != name(victim))).count()
+                as u64;
+    }
+    figures
+}
+
+/// With real processes that have nothing else to do.
+pub async fn real(binary: &Path, nodes: usize, plays: u64) -> io::Result<Figures> {
+    let mut figures = figures(nodes, plays, "real processes");
+    // The times that a node has by default.
+    let mut yard = Yard::start(yard::Spec { probe_ms: 1000, ..yard::Spec::new(binary, nodes) }).await?;
+    let fail = |wrong: Vec<crate::check::Fault>| io::Error::other(format!("not settled: {}", wrong[0]));
+    let bound = Duration::from_secs(60);
+    yard.settled(&Yard::truth(0..nodes), bound).await.map_err(fail)?;
+    let ticks = |yard: &Yard| yard.nodes.iter().flatten().filter_map(|p| p.ticks()).sum::<u64>();
+    let (before, calm) = ((ticks(&yard), yard.relays.passed()), Duration::from_secs(20));
+    tokio::time::sleep(calm).await;
+    let after = (ticks(&yard), yard.relays.passed());
+    let each = nodes as f64 * calm.as_secs_f64();
+    figures.messages = (after.1.datagrams - before.1.datagrams) as f64 / each;
+    figures.bytes = (after.1.bytes - before.1.bytes) as f64 / each;
+    figures.cpu = (after.0 - before.0) as f64 / 100.0 / each;
+    for play in 0..plays {
+        let victim = (play as usize * 7 + 3) % nodes;
+        let killed = Instant::now();
+        yard.kill(victim);
+        let truth = Yard::truth((0..nodes).filter(|i| *i != victim));
+        let mut first = None;
+        while first.is_none() && killed.elapsed() < bound {
+            let views = yard.views().await;
+            let dead = |v: &fleet::View| {
+                v.members.iter().any(|m| m.name == Yard::name(victim) && m.status == Status::Dead)
+            };
+            first = views.values().flatten().any(dead).then(|| killed.elapsed());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let since = killed.elapsed();
+        let all = since + yard.settled(&truth, bound).await.map_err(fail)?;
+        figures.detected.saturating_record(ms(first.unwrap_or(all)));
+        figures.all.saturating_record(ms(all));
+        yard.start_node(victim)?;
+        let joined = yard.settled(&Yard::truth(0..nodes), bound).await.map_err(fail)?;
+        figures.joined.saturating_record(ms(joined));
+        let views = yard.views().await;
+        figures.false_deaths +=
+            views.values().flatten().filter(|v| v.members.iter().any(|m| m.status == Status::Dead)).count()
+                as u64;
+    }
+    Ok(figures)
+}
--- /dev/null
+++ b/rig/src/plan.rs
@@ -0,0 +1,277 @@
+//! Fault plans: what is done to which nodes when, from a TOML file, and what came of it.
+
+use crate::check::{Fault, Truth};
+use crate::load::{play, Load, Report};
+use crate::relay::Rule;
+use crate::yard::{Spec, Yard, NODES_MAX, TENANTS};
+use fleet::Shown;
+use rustix::process::Signal;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until, Instant};
+use toml::Spanned;
+
+/// A plan.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// For all that is drawn.
+    pub seed: u64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Whether they talk.
+    #[serde(default = "yes")]
+    pub fleet: bool,
+    /// Workers.
+    pub workers: usize,
+    /// Jobs a second.
+    pub rate: f64,
+    /// Jobs a second that each of the two tenants may send.
+    pub quota: f64,
+    /// For how long the load is played.
+    pub length_s: f64,
+    /// Between two probes of a node.
+    #[serde(default = "probe")]
+    pub probe_ms: u64,
+    /// What is done.
+    #[serde(default)]
+    pub fault: Vec<Spanned<Step>>,
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn probe() -> u64 {
+    250
+}
+
+/// Something that is done at a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// When, in seconds from the load's start.
+    pub at_s: f64,
+    /// What.
+    pub what: What,
+    /// To which nodes; with `part`, who is on one side of the cut; with `link`, from whom.
+    #[serde(default)]
+    pub nodes: Vec<usize>,
+    /// With `link`: to whom.
+    #[serde(default)]
+    pub to: Vec<usize>,
+    /// With `link`: the rule.
+    #[serde(default)]
+    pub rule: Rule,
+    /// With `workers`: how many more, all cold.
+    #[serde(default)]
+    pub count: usize,
+}
+
+/// What is done.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// Kill processes.
+    Kill,
+    /// Start processes.
+    Start,
+    /// Stop them where they stand.
+    Stop,
+    /// Let them go on.
+    GoOn,
+    /// Ask them to end.
+    Term,
+    /// Cut these off from all others.
+    Part,
+    /// A rule from some to some.
+    Link,
+    /// Everything passes again.
+    Heal,
+    /// More workers, cold.
+    Workers,
+}
+
+/// Why a plan was not taken: the line, from 1 on, and what is wrong there.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {what}")]
+pub struct BadPlan {
+    line: usize,
+    what: String,
+}
+
+impl Plan {
+    /// Reads a plan and checks it whole.
+    pub fn parse(text: &str) -> Result<Plan, BadPlan> {
+        let line = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
+        let plan: Plan = toml::from_str(text).map_err(|e| BadPlan {
+            line: e.span().map_or(1, |s| line(s.start)),
+            what: e.message().trim().replace('\n', " "),
+        })?;
+        let bad = |at: usize, what: &str| Err(BadPlan { line: line(at), what: what.to_string() });
+        if !(1..=NODES_MAX).contains(&plan.nodes) {
+            return bad(0, &format!("nodes: 1 to {NODES_MAX} are allowed"));
+        }
+        let above = |x: f64| x.is_finite() && x > 0.0;
+        if !above(plan.rate) || !above(plan.quota) || !above(plan.length_s) || plan.probe_ms < 100 {
+            return bad(0, "rate, quota and length_s must be above zero, and probe_ms 100 at least");
+        }
+        for step in &plan.fault {
+            let (at, step) = (step.span().start, step.get_ref());
+            let part = |x: f64| (0.0..=1.0).contains(&x);
+            if step.nodes.iter().chain(&step.to).any(|i| *i >= plan.nodes) {
+                return bad(at, "there is no such node");
+            }
+            if !step.at_s.is_finite() || !(0.0..=plan.length_s).contains(&step.at_s) {
+                return bad(at, "at_s lies outside the plan");
+            }
+            if !part(step.rule.loss) || !part(step.rule.twice) || !part(step.rule.mutated) {
+                return bad(at, "loss, twice and mutated are parts, from 0 to 1");
+            }
+        }
+        Ok(plan)
+    }
+}
+
+/// What came of a plan.
+pub struct Outcome {
+    /// How the jobs ended.
+    pub report: Report,
+    /// How long after the load's end the views of all that ran were equal and true, or what was wrong.
+    pub settled: Result<Duration, Vec<Fault>>,
+    /// What each node told at the end.
+    pub shown: BTreeMap<String, Option<Shown>>,
+    /// Workers that fell over, and the most that came to one while it was cold, as a part of what makes it fall.
+    pub fell: usize,
+    /// The same.
+    pub pressure: f64,
+    /// Keys that were done more than once.
+    pub twice: usize,
+}
+
+/// Carries a plan out with this program; `say` hears of each step.
+pub async fn carry_out(plan: &Plan, binary: &Path, say: impl Fn(&str)) -> io::Result<Outcome> {
+    let spec = Spec {
+        fleet: plan.fleet,
+        workers: plan.workers,
+        quota: plan.quota,
+        probe_ms: plan.probe_ms,
+        seed: plan.seed,
+        ..Spec::new(binary, plan.nodes)
+    };
+    let mut yard = Yard::start(spec).await?;
+    let mut running = vec![true; plan.nodes];
+    if plan.fleet {
+        let all = yard.settled(&Yard::truth(0..plan.nodes), Duration::from_secs(30)).await;
+        say(&match &all {
+            Ok(took) => format!("the views of {} nodes are equal and true after {took:.1?}", plan.nodes),
+            Err(wrong) => format!("the views did not settle: {}", wrong[0]),
+        });
+    } else {
+        sleep(Duration::from_secs(2)).await;
+    }
+    let load = Load {
+        rate: plan.rate,
+        length: Duration::from_secs_f64(plan.length_s),
+        seed: plan.seed,
+        tenants: TENANTS.map(String::from).to_vec(),
+    };
+    let nodes = (0..plan.nodes).map(|i| yard.listen(i)).collect();
+    let (start, load) = (Instant::now(), tokio::spawn(play(load, nodes)));
+    let mut steps: Vec<Step> = plan.fault.iter().map(|s| s.get_ref().clone()).collect();
+    steps.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    for step in steps {
+        sleep_until(start + Duration::from_secs_f64(step.at_s)).await;
+        do_step(&mut yard, &mut running, &step).await?;
+        say(&format!("{:5.1} s: {:?} {:?}", step.at_s, step.what, step.nodes));
+    }
+    let report = load.await.map_err(io::Error::other)?;
+    let truth: Truth = Yard::truth((0..plan.nodes).filter(|i| running[*i]));
+    let settled = match plan.fleet {
+        true => yard.settled(&truth, Duration::from_secs(30)).await,
+        false => Ok(Duration::ZERO),
+    };
+    let seen: Vec<_> = yard.workers.iter().flatten().map(|(w, _)| w.seen()).collect();
+    let mut keys: BTreeMap<&String, u32> = BTreeMap::new();
+    seen.iter().flat_map(|s| &s.keys).for_each(|(key, n)| *keys.entry(key).or_default() += n);
+    Ok(Outcome {
+        report,
+        settled,
+        shown: yard.shown().await,
+        fell: seen.iter().filter(|s| s.fell).count(),
+        pressure: seen.iter().map(|s| s.pressure).fold(0.0, f64::max),
+        twice: keys.values().filter(|n| **n > 1).count(),
+    })
+}
+
+async fn do_step(yard: &mut Yard, running: &mut [bool], step: &Step) -> io::Result<()> {
+    for i in step.nodes.iter().copied() {
+        match step.what {
+            What::Kill => yard.kill(i),
+            What::Start => yard.start_node(i)?,
+            What::Stop | What::GoOn | What::Term => {
+                if let Some(process) = &mut yard.nodes[i] {
+                    process.signal(match step.what {
+                        What::Stop => Signal::STOP,
+                        What::GoOn => Signal::CONT,
+                        _ => Signal::TERM,
+                    });
+                }
+            }
+            _ => {}
+        }
+        match step.what {
+            What::Kill | What::Stop | What::Term => running[i] = false,
+            What::Start | What::GoOn => running[i] = true,
+            _ => {}
+        }
+    }
+    match step.what {
+        What::Part => {
+            let parts: Vec<u32> = (0..running.len()).map(|i| u32::from(step.nodes.contains(&i))).collect();
+            yard.relays.part(&parts);
+        }
+        What::Heal => yard.relays.heal(),
+        What::Link => {
+            for from in &step.nodes {
+                step.to
+                    .iter()
+                    .filter(|to| *to != from)
+                    .for_each(|to| yard.relays.rule(*from, *to, step.rule));
+            }
+        }
+        What::Workers => {
+            for _ in 0..step.count {
+                yard.add_worker(true).await?;
+            }
+            yard.list();
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "seed = 1\nnodes = 3\nworkers = 2\nrate = 5.0\nquota = 5.0\nlength_s = 3\n";
+
+    #[test]
+    fn a_bad_plan_is_told_by_its_line() {
+        assert!(Plan::parse(GOOD).is_ok());
+        for (more, line) in [
+            ("[[fault]]\nat_s = 1\nwhat = \"kill\"\nnodes = [3]", 7),
+            ("[[fault]]\nat_s = 4\nwhat = \"kill\"\nnodes = [0]", 7),
+            ("[[fault]]\nat_s = 1\nwhat = \"hang\"", 9),
+            ("[[fault]]\nat_s = 1\nwhat = \"link\"\nrule = { loss = 2.0 }", 7),
+            ("[[fault]]\nat_s = 1\nwhat = \"link\"\nrule = { los = 0.2 }", 10),
+        ] {
+            let bad = Plan::parse(&format!("{GOOD}{more}")).unwrap_err();
+            assert_eq!(bad.line, line, "{more}: {bad}");
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/show.rs
@@ -0,0 +1,92 @@
+//! The demonstration: what a newcomer runs first.
+
+use crate::load::{play, Load};
+use crate::yard::{Spec, Yard, TENANTS};
+use fleet::{Shown, Status};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// For the views to become equal and true.
+const BOUND: Duration = Duration::from_secs(20);
+
+/// Starts five nodes with workers and load, kills one, cuts one off, and prints what each sees.
+pub async fn demo(binary: &Path) -> Result<(), String> {
+    let no = |e: std::io::Error| format!("cannot start {}: {e}", binary.display());
+    let mut yard = Yard::start(Spec { workers: 4, quota: 12.0, ..Spec::new(binary, 5) }).await.map_err(no)?;
+    println!("Five nodes, four workers, 20 jobs a second. Each row is what one node sees of each other.\n");
+    let names = |i: &usize| Yard::name(*i);
+    settle(&yard, "all five find each other", (0..5).map(|i| (i, 0)).collect()).await?;
+    let length = Duration::from_secs(20);
+    let load = Load { rate: 20.0, length, seed: 1, tenants: TENANTS.map(String::from).to_vec() };
+    let load = tokio::spawn(play(load, (0..5).map(|i| yard.listen(i)).collect()));
+    sleep(Duration::from_secs(2)).await;
+    yard.kill(1);
+    settle(&yard, &format!("{} is killed", names(&1)), [0, 2, 3, 4].map(|i| (i, 0)).to_vec()).await?;
+    yard.relays.part(&[0, 0, 0, 0, 1]);
+    let parts = [(0, 0), (2, 0), (3, 0), (4, 1)].to_vec();
+    settle(&yard, &format!("{} is cut off from the other nodes, not from workers", names(&4)), parts).await?;
+    yard.relays.heal();
+    yard.start_node(1).map_err(no)?;
+    settle(&yard, "the cut is mended and the killed one started again", (0..5).map(|i| (i, 0)).collect())
+        .await?;
+    let r = load.await.map_err(|e| e.to_string())?;
+    println!(
+        "Meanwhile {} jobs were due: {} served in time, {} late, {} refused, {} failed, {} lost with the node that was \
+         killed or before the front noticed it. Worth served: {:.2}.",
+        r.due,
+        r.in_time,
+        r.late,
+        r.refused,
+        r.failed,
+        r.lost + r.nowhere,
+        r.worth
+    );
+    Ok(())
+}
+
+async fn settle(yard: &Yard, what: &str, running: Vec<(usize, u32)>) -> Result<(), String> {
+    let mut truth = Yard::truth(running.iter().map(|(i, _)| *i));
+    for (i, part) in running {
+        truth.parts.insert(Yard::name(i), part);
+    }
+    match yard.settled(&truth, BOUND).await {
+        Ok(took) => println!("{what}: equal and true after {:.1} s", took.as_secs_f64()),
+        Err(wrong) => {
+            let wrong: Vec<String> = wrong.iter().map(|f| f.to_string()).collect();
+            return Err(format!("{what}: the views did not settle in {BOUND:?}: {}", wrong.join(", ")));
+        }
+    }
+    println!("{}", table(&yard.shown().await));
+    Ok(())
+}
+
+/// A row for each node: what it holds of each other.
+fn table(shown: &BTreeMap<String, Option<Shown>>) -> String {
+    let known = shown.values().flatten().flat_map(|s| &s.view.members).map(|m| &m.name);
+    let names: BTreeSet<&String> = known.chain(shown.keys()).collect();
+    let mut out = format!("  {:6}", "");
+    names.iter().for_each(|n| out += &format!("{n:>9}"));
+    for (name, told) in shown {
+        out += &format!("\n  {name:6}");
+        let Some(told) = told else {
+            out += "  tells nothing";
+            continue;
+        };
+        for other in &names {
+            let m = told.view.members.iter().find(|m| m.name == ***other);
+            let word = match m.map(|m| m.status) {
+                None => "unknown",
+                Some(Status::Alive) => "alive",
+                Some(Status::Suspect) => "suspect",
+                Some(Status::Draining) => "draining",
+                Some(Status::Left) => "left",
+                Some(Status::Dead) => "dead",
+            };
+            out += &format!("{word:>9}");
+        }
+        out += &format!("   {} take jobs, {} may be sending", told.stand.siblings, told.stand.senders);
+    }
+    out + "\n"
+}
--- /dev/null
+++ b/rig/src/yard.rs
@@ -0,0 +1,340 @@
+//! A whole fleet of real processes on loopback addresses of its own: nodes, workers, discovery, and relays between the
+//! nodes. All of it ends with the value.
+
+use crate::check::{faults, Fault, Truth};
+use crate::discovery::Discovery;
+use crate::process::Process;
+use crate::relay::Relays;
+use crate::wire;
+use crate::worker::{Kind, Worker};
+use fleet::{Shown, View};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant};
+
+/// The key that the yard's fleets share.
+pub const KEY: &str = "current 0f1e2d3c4b5a69788796a5b4c3d2e1f00f1e2d3c4b5a69788796a5b4c3d2e1f0\n";
+/// Nodes at most: one address for each and one for its relay, in one block.
+pub const NODES_MAX: usize = 100;
+/// Between two looks at the views.
+const LOOK: Duration = Duration::from_millis(100);
+/// Held while a block of addresses is in use, so that no two yards share one.
+const LOCK_PORT: u16 = 7900;
+
+/// What a yard is made of.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// The program.
+    pub binary: PathBuf,
+    /// Nodes; at most [`NODES_MAX`].
+    pub nodes: usize,
+    /// Whether they talk.
+    pub fleet: bool,
+    /// Workers.
+    pub workers: usize,
+    /// How they work.
+    pub kind: Kind,
+    /// Jobs a second that each of the two tenants may send.
+    pub quota: f64,
+    /// Between two probes of a node; all other times of the talk go by it.
+    pub probe_ms: u64,
+    /// For what relays draw.
+    pub seed: u64,
+}
+
+impl Spec {
+    /// A small fleet that settles fast.
+    pub fn new(binary: impl Into<PathBuf>, nodes: usize) -> Spec {
+        let (binary, kind) = (binary.into(), Kind::default());
+        Spec { binary, nodes, fleet: true, workers: 0, kind, quota: 1000.0, probe_ms: 250, seed: 1 }
+    }
+
+    /// For how long views have to be right before they count as settled: as long as a suspicion may take.
+    pub fn steady(&self) -> Duration {
+        Duration::from_millis(self.probe_ms * 6)
+    }
+}
+
+/// The tenants of the yard's settings.
+pub const TENANTS: [&str; 2] = ["primorje-spedicija", "savinja-logistika"];
+
+/// A fleet of real processes.
+pub struct Yard {
+    /// What it is made of.
+    pub spec: Spec,
+    /// The nodes' processes; `None` where none runs.
+    pub nodes: Vec<Option<Process>>,
+    /// Processes that were taken over from and are on their way to their end.
+    pub before: Vec<Process>,
+    /// What lies between them.
+    pub relays: Relays,
+    /// The workers, by number; `None` where one is gone.
+    pub workers: Vec<Option<(Worker, u64)>>,
+    /// Where the nodes hear of them.
+    pub discovery: Discovery,
+    folder: PathBuf,
+    block: [u8; 2],
+    starts: u16,
+    _lock: TcpListener,
+}
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+impl Yard {
+    /// Starts everything.
+    pub async fn start(spec: Spec) -> io::Result<Yard> {
+        let mut yard = Yard::prepare(spec).await?;
+        for i in 0..yard.spec.nodes {
+            yard.start_node(i)?;
+        }
+        Ok(yard)
+    }
+
+    /// Starts all but the nodes.
+    pub async fn prepare(spec: Spec) -> io::Result<Yard> {
+        let too_many = || io::Error::new(io::ErrorKind::InvalidInput, format!("at most {NODES_MAX} nodes"));
+        (1..=NODES_MAX).contains(&spec.nodes).then_some(()).ok_or_else(too_many)?;
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let (block, _lock) = block(std::process::id().wrapping_mul(97).wrapping_add(number * 7919))?;
+        let folder = std::env::temp_dir().join(format!("rig-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("fleet.key"), KEY)?;
+        let at = |host: usize, port| address(block, host, port);
+        let fronts: Vec<SocketAddr> = (0..spec.nodes).map(|i| at(100 + i, 7946)).collect();
+        let hosts: Vec<SocketAddr> = (0..spec.nodes).map(|i| at(i, 7946)).collect();
+        let relays = Relays::start(&fronts, &hosts, spec.seed).await?;
+        let discovery = Discovery::start(at(250, 8500), Vec::new()).await?;
+        let mut yard = Yard {
+            nodes: (0..spec.nodes).map(|_| None).collect(),
+            before: Vec::new(),
+            relays,
+            workers: Vec::new(),
+            discovery,
+            folder,
+            block,
+            starts: 0,
+            _lock,
+            spec,
+        };
+        for _ in 0..yard.spec.workers {
+            yard.add_worker(false).await?;
+        }
+        yard.list();
+        Ok(yard)
+    }
+
+    /// The name of a node.
+    pub fn name(i: usize) -> String {
+        format!("n{i:02}")
+    }
+
+    /// Where clients connect to a node.
+    pub fn listen(&self, i: usize) -> SocketAddr {
+        address(self.block, i, 8000)
+    }
+
+    /// Where the other nodes reach it: its relay.
+    pub fn advertise(&self, i: usize) -> SocketAddr {
+        address(self.block, 100 + i, 7946)
+    }
+
+    /// Where it listens for them itself.
+    pub fn talk(&self, i: usize) -> SocketAddr {
+        address(self.block, i, 7946)
+    }
+
+    /// What belongs to the yard; gone with it.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Starts a process for a node: anew, or beside one that runs, which is then in [`Yard::before`].
+    pub fn start_node(&mut self, i: usize) -> io::Result<()> {
+        self.start_as(i, &Yard::name(i))
+    }
+
+    /// The same, under another name.
+    pub fn start_as(&mut self, i: usize, name: &str) -> io::Result<()> {
+        self.starts += 1;
+        let folder = self.folder.join(Yard::name(i));
+        std::fs::create_dir_all(&folder)?;
+        let file = folder.join("fleet.toml");
+        std::fs::write(&file, self.fleet_file(i))?;
+        let file = file.to_string_lossy().into_owned();
+        let config = self.config(i, name);
+        let arguments: &[&str] = if self.spec.fleet { &["--fleet", &file] } else { &[] };
+        let process = Process::start(&self.spec.binary, &folder, &config, arguments)?;
+        if let Some(mut old) = self.nodes[i].replace(process) {
+            if old.ended().is_none() {
+                self.before.push(old);
+            }
+        }
+        Ok(())
+    }
+
+    fn fleet_file(&self, i: usize) -> String {
+        let seeds: Vec<String> =
+            (0..self.spec.nodes.min(3)).map(|s| format!("{:?}", self.advertise(s).to_string())).collect();
+        let p = self.spec.probe_ms;
+        format!(
+            "fleet = \"rig\"\nlisten = \"{}\"\nadvertise = \"{}\"\nzone = \"z{}\"\nkey_file = \"../fleet.key\"\n\
+             seeds = [{}]\n[timing]\nprobe_ms = {p}\nanswer_ms = {}\nsuspicion_ms = {}\ncontact_ms = {p}\n",
+            self.talk(i),
+            self.advertise(i),
+            i % 2,
+            seeds.join(", "),
+            p * 2 / 5,
+            p * 4
+        )
+    }
+
+    fn config(&self, i: usize, name: &str) -> Value {
+        let mut settings = wire::settings(true, 250_000);
+        let ms = |d: Duration| d.as_micros() as u64;
+        let kind = &self.spec.kind;
+        settings["Siblings"] = self.spec.nodes.into();
+        settings["Ordinal"] = i.into();
+        settings["Limits"]["Peers"] = self.spec.fleet.into();
+        settings["Prices"] = json!({"Peer": 0.01});
+        settings["OverShareWorth"] = 0.05.into();
+        settings["Invariants"] = json!({"ColdShare": kind.cold_share, "WarmUpUs": ms(kind.warm_up),
+            "FallMultiple": kind.fall_multiple, "FallUs": ms(kind.fall)});
+        let tenant = |name: &&str| json!({"Name": name, "QuotaPerS": self.spec.quota, "Share": 0.5});
+        settings["Parties"] = TENANTS.iter().map(tenant).collect();
+        for (profile, class) in [0, 1].into_iter().zip(crate::load::classes()) {
+            settings["Profiles"][profile]["AimUs"] = ms(class.aim).into();
+            settings["Profiles"][profile]["AimStretch"] = class.stretch.into();
+            settings["Profiles"][profile]["DeadlineUs"] = ms(class.deadline).into();
+        }
+        json!({"name": name, "listen": self.listen(i).to_string(), "discovery": self.discovery.address.to_string(),
+            "management": address(self.block, i, 9000 + self.starts).to_string(), "seed": format!("{:x}", i + 1),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 0, "complete": true, "members": self.lines()}, "settings": settings})
+    }
+
+    fn lines(&self) -> Vec<Value> {
+        let workers = self.workers.iter().enumerate().filter_map(|(n, w)| Some((n, w.as_ref()?)));
+        workers
+            .map(|(n, (w, since))| wire::line(&format!("w{n:03}"), w.address, "in_service", *since))
+            .collect()
+    }
+
+    /// Tells discovery who is there.
+    pub fn list(&self) {
+        self.discovery.tell(self.lines());
+    }
+
+    /// One worker more; discovery is not told. Returns its number.
+    pub async fn add_worker(&mut self, cold: bool) -> io::Result<usize> {
+        let n = self.workers.len();
+        let at = address(self.block, 200 + n % 50, 8100 + (n / 50) as u16);
+        let worker = Worker::start(at, self.spec.kind, cold).await?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.workers.push(Some((worker, if cold { unix.as_millis() as u64 } else { 0 })));
+        Ok(n)
+    }
+
+    /// The process of a node that runs.
+    ///
+    /// # Panics
+    /// Where none runs: a test that says so is wrong.
+    pub fn node(&mut self, i: usize) -> &mut Process {
+        self.nodes[i].as_mut().expect("this node has a process")
+    }
+
+    /// Kills a node's process.
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i] = None;
+    }
+
+    /// What each node tells, by name; `None` where it tells nothing.
+    pub async fn shown(&self) -> BTreeMap<String, Option<Shown>> {
+        let mut calls = JoinSet::new();
+        for (i, process) in self.nodes.iter().enumerate() {
+            let Some(at) = process.as_ref().map(|p| p.management) else { continue };
+            calls.spawn(async move {
+                let told = crate::process::call(at, "GET", "/fleet").await;
+                let shown = told.filter(|t| t.0 == 200).and_then(|t| serde_json::from_slice(&t.1).ok());
+                (Yard::name(i), shown)
+            });
+        }
+        let mut all = BTreeMap::new();
+        while let Some(Ok((name, shown))) = calls.join_next().await {
+            all.insert(name, shown);
+        }
+        all
+    }
+
+    /// The views of all nodes.
+    pub async fn views(&self) -> BTreeMap<String, Option<View>> {
+        self.shown().await.into_iter().map(|(n, s)| (n, s.map(|s| s.view))).collect()
+    }
+
+    /// The truth where these nodes run, in one part.
+    pub fn truth(running: impl IntoIterator<Item = usize>) -> Truth {
+        Truth { parts: running.into_iter().map(|i| (Yard::name(i), 0)).collect() }
+    }
+
+    /// Waits until the views are equal and true, and have been for as long as a suspicion may take. How long that took,
+    /// or what was wrong last.
+    pub async fn settled(&self, truth: &Truth, bound: Duration) -> Result<Duration, Vec<Fault>> {
+        let start = Instant::now();
+        let (mut right_since, mut last): (Option<Instant>, Vec<Fault>) = (None, Vec::new());
+        loop {
+            let wrong = faults(truth, &self.views().await);
+            if wrong.is_empty() {
+                let since = *right_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= self.spec.steady() {
+                    return Ok(since - start);
+                }
+            } else {
+                (right_since, last) = (None, wrong);
+            }
+            if right_since.is_none() && start.elapsed() >= bound {
+                return Err(last);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// The log of a node's last process.
+    pub fn log(&self, i: usize) -> String {
+        let log = self.nodes[i].as_ref().map(|p| p.log.clone());
+        log.and_then(|path| std::fs::read_to_string(path).ok()).unwrap_or_default()
+    }
+}
+
+impl Drop for Yard {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        self.before.clear();
+        if std::thread::panicking() {
+            eprintln!("the nodes' logs are left in {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn address(block: [u8; 2], host: usize, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, block[0], block[1], host as u8 + 1), port))
+}
+
+/// A block of addresses that no other yard uses, and what holds it.
+fn block(first: u32) -> io::Result<([u8; 2], TcpListener)> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for n in (0..512).map(|i| first.wrapping_add(i)) {
+        let block = [64 + (n >> 8) as u8 % 128, n as u8];
+        match TcpListener::bind(address(block, 253, LOCK_PORT)) {
+            Ok(lock) => return Ok((block, lock)),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
