--- a/node/src/logger.rs
+++ b/node/src/logger.rs
@@ -15,7 +15,7 @@
 
 /// A record's fields, in the order in which they stand there.
 #[derive(Default)]
-struct Fields(Map<String, serde_json::Value>);
+struct Fields(Vec<(String, serde_json::Value)>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
@@ -26,7 +26,7 @@
             (_, _, _, Some(x)) => json!(x),
             _ => json!(value.to_string()),
         };
-        self.0.insert(key.to_string(), plain);
+        self.0.push((key.to_string(), plain));
         Ok(())
     }
 }
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -326,7 +326,7 @@
             let length = [3, 60, 1399, 1800][sent as usize % 4];
             let _ = socket.send_to(&bytes[..length], target);
             sent += 1;
-            if sent % 64 == 0 {
+            if sent.is_multiple_of(64) {
                 std::thread::sleep(Duration::from_millis(1));
             }
         }
