--- a/fleet/src/machine.rs
+++ b/fleet/src/machine.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -924,21 +924,25 @@
     /// Notes what the view holds now beside what it held.
     fn refresh(&mut self, now: Duration) {
         let mut changed = Vec::new();
-        let mut gone: Vec<String> = self.known.keys().cloned().collect();
+        let mut met = 0;
         let own = &self.config.name;
         for m in self.foca.iter_membership_state().filter(|m| m.id().name != *own) {
-            if let Ok(i) = gone.binary_search(&m.id().name) {
-                gone.remove(i);
-            }
             let now_is = match status(m) {
                 Status::Suspect => Status::Alive,
                 status => status,
             };
-            let same = |k: &Known| k.identity == *m.id() && k.status == now_is;
-            if !self.known.get(&m.id().name).is_some_and(same) {
+            let known = self.known.get(&m.id().name);
+            met += usize::from(known.is_some());
+            if !known.is_some_and(|k| k.identity == *m.id() && k.status == now_is) {
                 changed.push((m.id().clone(), now_is));
             }
         }
+        let mut gone = Vec::new();
+        if met < self.known.len() {
+            let names: HashSet<&str> =
+                self.foca.iter_membership_state().map(|m| m.id().name.as_str()).collect();
+            gone.extend(self.known.keys().filter(|name| !names.contains(name.as_str())).cloned());
+        }
         if changed.is_empty() && gone.is_empty() {
             return;
         }
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -1,5 +1,6 @@
 //! Who a member is, and how a view tells of it.
 
+use crate::packet::hash;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -50,15 +51,16 @@
 }
 
 impl foca::Identity for Identity {
-    type Addr = String;
+    /// A hash of the name: looked at for every member with every update.
+    type Addr = u64;
 
     /// None by itself: whether this process comes back, or yields to another of its name, is the machine's to say.
     fn renew(&self) -> Option<Self> {
         None
     }
 
-    fn addr(&self) -> String {
-        self.name.clone()
+    fn addr(&self) -> u64 {
+        hash(&self.name)
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
