--- a/fleet/src/machine.rs
+++ b/fleet/src/machine.rs
@@ -1018,8 +1018,8 @@
 mod tests {
     use super::*;
 
-    /// Machines that hear each other at once, as long as they do not sleep.
-    struct Ring(Vec<Machine>, Duration);
+    /// Machines that hear each other at once, their time, and how often one wanted to exchange whole states.
+    struct Ring(Vec<Machine>, Duration, usize);
 
     fn at(i: usize) -> SocketAddr {
         SocketAddr::from(([127, 0, 0, 1], 1000 + i as u16))
@@ -1040,7 +1040,7 @@
                 let seed = 10 + i as u64;
                 Machine::new(config, Birth { boot: seed, unix_ms: 1, seed }, Duration::ZERO)
             };
-            let mut ring = Ring((0..nodes).map(machine).collect(), Duration::ZERO);
+            let mut ring = Ring((0..nodes).map(machine).collect(), Duration::ZERO, 0);
             ring.pass(Duration::from_secs(10));
             ring
         }
@@ -1054,9 +1054,13 @@
                         self.0[i].tick(self.1);
                     }
                     while let Some(action) = self.0[i].action() {
-                        if let Action::Send { to, bytes } = action {
-                            let to = (to.port() - 1000) as usize;
-                            self.0[to].datagram(self.1, &bytes);
+                        match action {
+                            Action::Send { to, bytes } => {
+                                let to = (to.port() - 1000) as usize;
+                                self.0[to].datagram(self.1, &bytes);
+                            }
+                            Action::Exchange { .. } => self.2 += 1,
+                            _ => {}
                         }
                     }
                 }
@@ -1115,6 +1119,37 @@
         assert_eq!(fresh.figures().refused.unproven, before.refused.unproven + 1);
     }
 
+    /// Guards a member against one with the key that speaks in its name.
+    #[test]
+    fn nobody_speaks_for_another() {
+        let mut ring = Ring::new(3);
+        let now = ring.1;
+        let other = &mut ring.0[2];
+        let _ = other.foca.gossip(&mut other.wishes);
+        let (_, data) = ring.0[2].wishes.sends.pop_front().expect("a message");
+        let before = ring.0[0].figures().refused.malformed;
+        ring.0[1].send(now, at(0), Body::Gossip(0, data));
+        while let Some(action) = ring.0[1].action() {
+            if let Action::Send { to, bytes } = action {
+                assert_eq!(to, at(0));
+                ring.0[0].datagram(now, &bytes);
+            }
+        }
+        assert_eq!(ring.0[0].figures().refused.malformed, before + 1);
+    }
+
+    /// Guards against views that differ for good where the news of a change were lost.
+    #[test]
+    fn views_that_differ_for_long_are_exchanged_whole() {
+        let mut ring = Ring::new(3);
+        let asked = ring.2;
+        ring.pass(Duration::from_secs(10));
+        assert_eq!(ring.2, asked, "equal views are not");
+        ring.0[0].digest ^= 1;
+        ring.pass(Duration::from_secs(10));
+        assert!(ring.2 > asked);
+    }
+
     /// Two installations with one key by mistake.
     #[test]
     fn another_fleet_and_another_version_are_refused() {
--- a/rig/tests/emulated.rs
+++ b/rig/tests/emulated.rs
@@ -104,6 +104,9 @@
     world.run(60 * S);
     let deaths = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Down(_))).count();
     assert!(deaths <= 9, "{deaths} times somebody was held dead: more than one wrong death, told to all");
+    // Guards those that refuted a suspicion against being told that they are dead all the same.
+    let returns = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Returned(_))).count();
+    assert!(returns <= deaths, "{returns} came back, of {deaths} told deaths");
     world.heal();
     settled(&mut world, 20 * S);
 }
@@ -124,6 +127,56 @@
     assert!(world.notes.iter().all(|(_, _, n)| !matches!(n, Note::Down(_))), "{:?}", world.notes);
 }
 
+/// Guards the living against a process that stood still while it suspected one of them, and had no ear for its answer.
+#[test]
+fn a_suspicion_of_one_that_stands_still_waits_for_it() {
+    let mut world = fleet(8, 16);
+    world.part(&[0, 0, 0, 0, 0, 1, 0, 0]);
+    let suspects = |world: &World| world.view(5).unwrap().members.iter().any(|m| m.status == Status::Suspect);
+    while !suspects(&world) {
+        world.run(S / 10);
+    }
+    world.heal();
+    world.stop(5);
+    world.run(30 * S);
+    world.notes.clear();
+    world.go_on(5);
+    world.run(S / 10);
+    assert!(world.notes.iter().all(|(_, _, n)| !matches!(n, Note::Down(_))), "{:?}", world.notes);
+    settled(&mut world, 20 * S);
+}
+
+/// Guards the halves of a partition where no seed is there to bring them together.
+#[test]
+fn halves_find_each_other_again_with_all_seeds_gone() {
+    let mut world = World::started(Spec { nodes: 9, seed: 17, seeds: 1, ..Spec::default() });
+    settled(&mut world, 20 * S);
+    world.kill(0);
+    settled(&mut world, 40 * S);
+    let parts: Vec<u32> = (0..9).map(|i| i % 2).collect();
+    world.part(&parts);
+    world.run(40 * S);
+    assert_eq!(status(&world, 1, 2), Some(Status::Dead));
+    world.heal();
+    settled(&mut world, 40 * S);
+}
+
+/// Guards against a dead name that newcomers hand on to each other, each counting its death from when it heard of it.
+#[test]
+fn a_death_is_as_old_for_a_newcomer_as_for_those_that_saw_it() {
+    let timing = Timing { forget: 60 * S, ..Timing::default() };
+    let mut world = World::started(Spec { nodes: 8, seed: 18, timing, ..Spec::default() });
+    settled(&mut world, 20 * S);
+    world.kill(7);
+    for round in 0..6 {
+        world.run(40 * S);
+        world.kill(round % 3);
+        world.start(round % 3);
+    }
+    world.run(10 * S);
+    assert!((0..7).all(|i| status(&world, i, 7).is_none()));
+}
+
 /// Guards against a second process that is started under a name by mistake: the newer one counts, the older one says so
 /// and keeps out, and comes back when the newer one has gone.
 #[test]
