--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -440,6 +440,33 @@
     assert_ne!(run(Some((1, vec![255; 4]))), quiet, "a well-formed one does");
 }
 
+/// Guards against a rate that counts for another dispatcher: numbers go by who is there, and that changes.
+#[test]
+fn what_peers_told_is_forgotten_when_their_numbers_mean_others() {
+    let run = |word: bool, orders: u64| {
+        let mut set = settings(vec![class(Semantics::Safe)]);
+        (set.siblings, set.peers) = (3, true);
+        set.tenants = vec![TenantSettings { quota_per_s: 30.0, share: 1.0 }; 2];
+        let mut d = Desk::new(set.clone(), many(30, |_| 0));
+        let mut tries = Vec::new();
+        for id in 0..120 {
+            if word {
+                d.tell(Event::PeerMessage { from: 1, bytes: vec![255; 4] });
+            }
+            let settings = Box::new(Settings { order: id % orders, ..set.clone() });
+            d.tell(Event::Settings { settings, continues: vec![None] });
+            let to = sent(&d.accept(id, 0), id);
+            d.ended(id, 0, Outcome::Full);
+            d.tell(Event::ClientLeft { id });
+            d.pass(60 * MS);
+            tries.push(to);
+        }
+        tries
+    };
+    assert_eq!(run(true, 2), run(false, 2));
+    assert_ne!(run(true, 1), run(false, 1), "with the same numbers it counts");
+}
+
 fn ask(id: RequestId, key: u64) -> Request {
     Request { id, key, left_us: 5 * S, ..Request::default() }
 }
@@ -873,30 +900,39 @@
 /// tells: all siblings' parts together stay within what it can surely do.
 #[test]
 fn a_cold_worker_gets_a_part_of_what_it_can_do_from_all_dispatchers_together() {
-    let (settings, mut list) = vast(vec![class(Semantics::Safe)]);
-    let mut all = 0;
-    for seed in 0..100 {
-        let mut d = Desk::new(settings.clone(), vec![]);
-        d.policy = dewlever::Policy::new(settings.clone(), seed, S).unwrap();
-        list.iter_mut().for_each(|e| e.since = S);
-        d.tell(Event::FullList(list.clone()));
-        // Jobs of 1 s come so often that no credit stays unused; the first may start after some seconds.
-        for id in 1..=60 {
-            let left_us = 5 * S;
-            let ask = Request { id, class: 0, left_us, hint_us: Some(S), ..Request::default() };
-            let mut out = d.tell(Event::Accept(ask));
-            out.extend(d.pass(100 * MS));
-            for action in out {
-                let Action::Send { id, .. } = action else { continue };
-                all += 1;
-                d.tell(Event::Started { id, attempt: 0 });
-                d.ended(id, 0, Outcome::Ok);
+    let sent = |siblings: u32, most_senders: u32| {
+        let (settings, mut list) = vast(vec![class(Semantics::Safe)]);
+        let settings = Settings { siblings, most_senders, ..settings };
+        let mut all = 0;
+        for seed in 0..100 {
+            let mut d = Desk::new(settings.clone(), vec![]);
+            d.policy = dewlever::Policy::new(settings.clone(), seed, S).unwrap();
+            list.iter_mut().for_each(|e| e.since = S);
+            d.tell(Event::FullList(list.clone()));
+            // Jobs of 1 s come so often that no credit stays unused; the first may start after some seconds.
+            for id in 1..=60 {
+                let left_us = 5 * S;
+                let ask = Request { id, class: 0, left_us, hint_us: Some(S), ..Request::default() };
+                let mut out = d.tell(Event::Accept(ask));
+                out.extend(d.pass(100 * MS));
+                for action in out {
+                    let Action::Send { id, .. } = action else { continue };
+                    all += 1;
+                    d.tell(Event::Started { id, attempt: 0 });
+                    d.ended(id, 0, Outcome::Ok);
+                }
             }
         }
-    }
+        f64::from(all)
+    };
     // In 6 s: six workers of size 24 in all, at 0.2 to 0.44 of it; three times that would break the rule.
     let sure = 24.0 * 0.32 * 6.0;
-    assert!(f64::from(all) > 0.9 * sure && f64::from(all) < 2.0 * sure, "{all} of {sure}");
+    // Half of them are held dead by the other half and may only be cut off: what is left to each stays the same.
+    for (siblings, most) in [(100, 0), (50, 100)] {
+        let all = sent(siblings, most);
+        assert!(all > 0.9 * sure && all < 2.0 * sure, "{siblings}, {most}: {all} of {sure}");
+    }
+    assert!(sent(50, 0) > 1.5 * sent(50, 100), "each of a smaller fleet may send more");
 }
 
 /// Guards against trials that are few at each node and many together: a doubted worker's next one comes the later
