--- a/rig/src/emulated.rs
+++ b/rig/src/emulated.rs
@@ -301,7 +301,7 @@
                 firsts.entry(*part).or_insert(i);
             }
         }
-        let views = firsts.values().filter_map(|i| Some((name(*i), self.view(*i))));
+        let views = firsts.values().map(|i| (name(*i), self.view(*i)));
         let lone = |f: &Fault| !matches!(f, Fault::Silent(_));
         faults(truth, &views.collect()).into_iter().filter(lone).collect()
     }
