Ask a node for its view in one place; share the walk of two tests of peers' words

Read over: the yard asked the management address by itself beside Process::shown, and two tests of the module walked the same steps. Behaviour and assertions are as before.

--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -98,12 +98,6 @@
         let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
         line.trim().trim_end_matches("kB").trim().parse().ok()
     }
-
-    /// What it tells of its fleet.
-    pub async fn shown(&self) -> Option<Shown> {
-        let (status, body) = call(self.management, "GET", "/fleet").await?;
-        serde_json::from_slice(&body).ok().filter(|_| status == 200)
-    }
 }
 
 impl Drop for Process {
@@ -112,6 +106,12 @@
     }
 }
 
+/// What the node at this management address tells of its fleet.
+pub async fn shown(at: SocketAddr) -> Option<Shown> {
+    let (status, body) = call(at, "GET", "/fleet").await?;
+    serde_json::from_slice(&body).ok().filter(|_| status == 200)
+}
+
 /// Calls a management address: status and body; `None` where no whole answer came.
 pub async fn call(at: SocketAddr, method: &str, path: &str) -> Option<(u16, Vec<u8>)> {
     let exchange = async {
--- a/rig/src/yard.rs
+++ b/rig/src/yard.rs
@@ -258,11 +258,7 @@
         let mut calls = JoinSet::new();
         for (i, process) in self.nodes.iter().enumerate() {
             let Some(at) = process.as_ref().map(|p| p.management) else { continue };
-            calls.spawn(async move {
-                let told = crate::process::call(at, "GET", "/fleet").await;
-                let shown = told.filter(|t| t.0 == 200).and_then(|t| serde_json::from_slice(&t.1).ok());
-                (Yard::name(i), shown)
-            });
+            calls.spawn(async move { (Yard::name(i), crate::process::shown(at).await) });
         }
         let mut all = BTreeMap::new();
         while let Some(Ok((name, shown))) = calls.join_next().await {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -411,6 +411,16 @@
     }
 }
 
+/// A job that is turned away, and to whom it was sent. Where each one is, jobs past the share are held back, and those
+/// within it are not.
+fn turned_away(d: &mut Desk, id: RequestId) -> Option<WorkerId> {
+    let to = sent(&d.accept(id, 0), id);
+    d.ended(id, 0, Outcome::Full);
+    d.tell(Event::ClientLeft { id });
+    d.pass(60 * MS);
+    to
+}
+
 #[test]
 fn a_malformed_word_of_a_peer_changes_nothing() {
     let run = |word: Option<(u32, Vec<u8>)>| {
@@ -423,12 +433,7 @@
             if let Some((from, bytes)) = &word {
                 d.tell(Event::PeerMessage { from: *from, bytes: bytes.clone() });
             }
-            let to = sent(&d.accept(id, 0), id);
-            // Turned away every time: jobs past the share are then held back, those within it are not.
-            d.ended(id, 0, Outcome::Full);
-            d.tell(Event::ClientLeft { id });
-            d.pass(60 * MS);
-            tries.push(to);
+            tries.push(turned_away(&mut d, id));
         }
         tries
     };
@@ -455,11 +460,7 @@
             }
             let settings = Box::new(Settings { order: id % orders, ..set.clone() });
             d.tell(Event::Settings { settings, continues: vec![None] });
-            let to = sent(&d.accept(id, 0), id);
-            d.ended(id, 0, Outcome::Full);
-            d.tell(Event::ClientLeft { id });
-            d.pass(60 * MS);
-            tries.push(to);
+            tries.push(turned_away(&mut d, id));
         }
         tries
     };
