Grant duties by a majority of voters: leases, tokens, a durable log; in emulated time

Need: some work must be done by one node at a time, and the view of the fleet can't say by which.

The crate duties has no I/O: Voter over raft (driven as a machine), Client with a lease that ends by its own clock before the grantor's, Fence for whatever is acted on, Store over redb on any disk. docs/DUTIES-DESIGN.md has the ways weighed. rig plays them in emulated time with clocks that run 5% off, disks that fail, and a resource that records each act; rig::acts judges that and has planted violations.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,8 +4,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod acts;
 pub mod check;
 pub mod discovery;
+pub mod disk;
+pub mod duties;
 pub mod emulated;
 pub mod load;
 pub mod measure;
