Follow discovery once for each zone: the holder passes lists on, the others ask in turn

Need: each node follows discovery by itself; calls grow with the fleet, and a change is told as often as there are nodes.

duties::Spread (no I/O): the holder of 'lists/ZONE' passes each version down a tree of the zone's nodes, eight each; what was missed comes with the next word, each 150 ms. Versions are discovery's own, so a list never goes back; the token keeps an old holder out; of another discovery nothing counts until this node follows that one. Without a word for 0.5 s the nodes ask discovery themselves, in turn within 0.3 s. A holder whose discovery gives no answer gives the duty back. Off unless the file says lists = true.

Tests: 5 of the machine (300 nodes: at most 8 words a node for a change), one with 8 real processes: two of them ask, at most 6 calls in 6 s, drains kept by all 500 ms after the first was told, also with a holder killed; with all voters dead all ask.

--- a/duties/src/lib.rs
+++ b/duties/src/lib.rs
@@ -13,6 +13,7 @@
 mod client;
 mod fence;
 mod log;
+mod spread;
 mod store;
 mod table;
 mod voter;
@@ -20,6 +21,7 @@
 
 pub use client::{Client, Errand, Lost};
 pub use fence::{Fence, Stale};
+pub use spread::{Change as ListChange, Counts, Gossip, Line, Spread, Step};
 pub use store::{BadStore, Batch, Disk, Folder, Store};
 pub use table::{Change, Held, Holder, Seat, Table, What, DUTIES_MAX, HISTORY};
 pub use voter::{Action, Figures, Note, Setup, Standing, Voter};
--- /dev/null
+++ b/duties/src/spread.rs
@@ -0,0 +1,616 @@
+//! The worker list of one zone, followed by one node for all: whoever holds the duty hears discovery and passes each version
+//! on, down a tree of the zone's nodes. A node that hears nothing for a while asks discovery itself, in turn.
+//!
+//! What a line holds is the embedder's business; here it has a key, and may be gone. Versions are discovery's own, so a list
+//! never goes back, whoever tells it. The token of the duty keeps an old holder's word out.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Between two words of the holder that it is there and what is newest.
+const BEAT: Duration = Duration::from_millis(150);
+/// Without such a word, before a node asks discovery itself; and each one's turn after the one before it, so that all have
+/// done so within `TURNS`: the first that hears of a drain must not be long ahead of the last.
+const SILENCE: Duration = Duration::from_millis(500);
+const TURN: Duration = Duration::from_millis(20);
+const TURNS: Duration = Duration::from_millis(300);
+/// Nodes that each node passes word on to.
+const CHILDREN: usize = 8;
+/// Versions back of which the changes are kept.
+const KEPT: usize = 16;
+/// Bytes of lines in one word, and words that a whole list may take.
+const PART: usize = 40 * 1024;
+const PARTS: usize = 256;
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// Which: a worker's id.
+    pub key: String,
+    /// It is told for the last time.
+    pub gone: bool,
+    /// What it says.
+    pub bytes: Vec<u8>,
+}
+
+/// What is new in a list, or all of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// The version that it leads to.
+    pub version: u64,
+    /// These are all lines.
+    pub whole: bool,
+    /// The lines.
+    pub lines: Vec<Line>,
+}
+
+/// What nodes of a zone tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Gossip {
+    /// The holder is there, and the one that passes this on has this version.
+    Beat {
+        /// The holder's token, its name, and the number of this word of it.
+        token: u64,
+        /// Its name.
+        holder: String,
+        /// Only grows under one token.
+        number: u64,
+        /// Which discovery the versions are of.
+        source: u64,
+        /// What the one that passes it on has.
+        version: u64,
+    },
+    /// What is new since this version, or all of it where that is 0.
+    Want {
+        /// Of which discovery.
+        source: u64,
+        /// The asker's version.
+        version: u64,
+    },
+    /// An answer, or what is passed on unasked.
+    Part {
+        /// The token of the holder that it came from.
+        token: u64,
+        /// Of which discovery.
+        source: u64,
+        /// It leads from this version; from nothing where that is 0.
+        since: u64,
+        /// To this one.
+        version: u64,
+        /// Which part.
+        index: u16,
+        /// Of how many.
+        of: u16,
+        /// Its lines.
+        lines: Vec<Line>,
+    },
+}
+
+/// What the embedder is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Bring a word to this node of the zone.
+    Send {
+        /// Where it is reached.
+        to: SocketAddr,
+        /// What.
+        gossip: Gossip,
+    },
+    /// Take this in, in place of what discovery would have told.
+    Feed(Change),
+    /// Ask discovery from here on, or let it be.
+    Ask(bool),
+}
+
+/// Counters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Words sent.
+    pub sent: u64,
+    /// Versions taken from another node.
+    pub fed: u64,
+    /// How often discovery had to be asked for want of a word.
+    pub silences: u64,
+    /// Words of a holder whose token was over.
+    pub refused: u64,
+}
+
+struct Parts {
+    id: (u64, u64, u64, u16),
+    lines: Vec<Option<Vec<Line>>>,
+}
+
+/// One node's part in its zone's list.
+pub struct Spread {
+    name: String,
+    /// The zone's nodes by name, this one included.
+    peers: Vec<(String, SocketAddr)>,
+    /// Held here, under this token.
+    token: Option<u64>,
+    /// The highest token heard of, and its holder.
+    seen: (u64, String),
+    number: u64,
+    source: u64,
+    version: u64,
+    lines: BTreeMap<String, Line>,
+    changes: VecDeque<(u64, u64, Vec<Line>)>,
+    parts: Option<Parts>,
+    asks: bool,
+    heard: Option<Duration>,
+    beat_at: Duration,
+    steps: VecDeque<Step>,
+    counts: Counts,
+}
+
+impl Spread {
+    /// A node that has just started: it asks discovery, as it does without all this, until it hears a holder.
+    pub fn new(name: &str, source: u64) -> Spread {
+        Spread {
+            name: name.to_string(),
+            peers: Vec::new(),
+            token: None,
+            seen: (0, String::new()),
+            number: 0,
+            source,
+            version: 0,
+            lines: BTreeMap::new(),
+            changes: VecDeque::new(),
+            parts: None,
+            asks: true,
+            heard: None,
+            beat_at: Duration::MAX,
+            steps: VecDeque::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// The next thing to do, if there is one.
+    pub fn step(&mut self) -> Option<Step> {
+        self.steps.pop_front()
+    }
+
+    /// Counters.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// The version that is had here.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether discovery is asked from here.
+    pub fn asks(&self) -> bool {
+        self.asks
+    }
+
+    /// The zone's nodes that take jobs, as the view has them: name and where each is reached.
+    pub fn peers(&mut self, mut peers: Vec<(String, SocketAddr)>) {
+        peers.sort();
+        self.peers = peers;
+    }
+
+    /// Discovery is another one from here on: its versions have nothing to do with those before.
+    pub fn moved(&mut self, source: u64) {
+        if self.source != source {
+            self.source = source;
+            self.version = 0;
+            self.changes.clear();
+        }
+    }
+
+    /// The duty is this node's, under this token.
+    pub fn hold(&mut self, now: Duration, token: u64) {
+        self.token = Some(token);
+        self.seen = (token, self.name.clone());
+        self.beat_at = now;
+        self.ask(true);
+    }
+
+    /// The duty is this node's no more. It asks on until it hears the next holder.
+    pub fn release(&mut self, now: Duration) {
+        if self.token.take().is_some() {
+            (self.heard, self.beat_at) = (Some(now), Duration::MAX);
+        }
+    }
+
+    /// When [`Spread::tick`] is due next.
+    pub fn due(&self) -> Duration {
+        match (self.token, self.asks) {
+            (Some(_), _) => self.beat_at,
+            (None, false) => self.heard.map_or(Duration::MAX, |at| at + SILENCE + self.turn()),
+            (None, true) => Duration::MAX,
+        }
+    }
+
+    /// Does what is due; `holds` says whether the duty may be acted on at this moment.
+    pub fn tick(&mut self, now: Duration, holds: bool) {
+        match self.token {
+            Some(token) if now >= self.beat_at => {
+                self.beat_at = now + BEAT;
+                if holds {
+                    self.number += 1;
+                    self.beat(token, self.number);
+                }
+            }
+            None if !self.asks && now >= self.due() => {
+                self.counts.silences += 1;
+                self.ask(true);
+            }
+            _ => {}
+        }
+    }
+
+    /// Discovery told this node; what is new goes on to the others, if the duty is held here and may be acted on.
+    pub fn told(&mut self, now: Duration, change: &Change, holds: bool) {
+        if !self.take(change) {
+            return;
+        }
+        if let Some(token) = self.token.filter(|_| holds) {
+            self.pass(token, change);
+            self.beat_at = now;
+        }
+    }
+
+    /// Takes a word of another node in.
+    pub fn hear(&mut self, now: Duration, from: SocketAddr, gossip: Gossip) {
+        match gossip {
+            Gossip::Beat { token, holder, number, source, version } => {
+                let last = if token == self.seen.0 { self.number } else { 0 };
+                if token < self.seen.0 {
+                    self.counts.refused += 1;
+                    return;
+                }
+                if number <= last || self.token.is_some_and(|own| own >= token) {
+                    return;
+                }
+                self.token = None;
+                (self.seen, self.number, self.heard) = ((token, holder), number, Some(now));
+                if source != self.source {
+                    return; // it follows another discovery, and is of no use here until this node does, too
+                }
+                if version > self.version {
+                    self.send(from, Gossip::Want { source, version: self.version });
+                } else {
+                    self.ask(false);
+                }
+                self.beat(token, number);
+            }
+            Gossip::Want { source, version } if source == self.source && self.version > version => {
+                self.give(from, version)
+            }
+            Gossip::Want { .. } => {}
+            Gossip::Part { token, source, since, version, index, of, lines } => {
+                if token < self.seen.0 {
+                    self.counts.refused += 1;
+                    return;
+                }
+                let of_use =
+                    source == self.source && version > self.version && (since == 0 || since == self.version);
+                if !of_use {
+                    return;
+                }
+                let Some(lines) = self.gather((token, since, version, of), index, lines) else { return };
+                let change = Change { version, whole: since == 0, lines };
+                if self.take(&change) {
+                    self.counts.fed += 1;
+                    self.steps.push_back(Step::Feed(change.clone()));
+                    self.pass(token, &change);
+                    if self.heard.is_some_and(|at| now - at < SILENCE) {
+                        self.ask(false);
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, asks: bool) {
+        if self.asks != asks {
+            self.asks = asks;
+            self.steps.push_back(Step::Ask(asks));
+        }
+    }
+
+    /// How long after the first one it is this node's turn.
+    fn turn(&self) -> Duration {
+        let place = self.peers.iter().position(|(n, _)| *n == self.name).unwrap_or(0) as u32;
+        let each = TURN.min(TURNS / (self.peers.len() as u32).max(1));
+        each * place
+    }
+
+    /// Whether it is newer than what is had here.
+    fn take(&mut self, change: &Change) -> bool {
+        // A list never goes back, and the same version is nothing new.
+        if change.version <= self.version {
+            return false;
+        }
+        if change.whole {
+            self.lines.clear();
+            self.changes.clear();
+        } else {
+            self.changes.push_back((self.version, change.version, change.lines.clone()));
+            if self.changes.len() > KEPT {
+                self.changes.pop_front();
+            }
+        }
+        for line in &change.lines {
+            if line.gone {
+                self.lines.remove(&line.key);
+            } else {
+                self.lines.insert(line.key.clone(), line.clone());
+            }
+        }
+        self.version = change.version;
+        true
+    }
+
+    /// Those that this node passes word on to: its children in a tree whose root is the holder.
+    fn children(&self) -> Vec<SocketAddr> {
+        let count = self.peers.len();
+        let place = |name: &str| self.peers.iter().position(|(n, _)| n == name);
+        let (Some(root), Some(own)) = (place(&self.seen.1), place(&self.name)) else { return Vec::new() };
+        let own = (own + count - root) % count;
+        let children = (own * CHILDREN + 1..=own * CHILDREN + CHILDREN).take_while(|i| *i < count);
+        children.map(|i| self.peers[(i + root) % count].1).collect()
+    }
+
+    fn send(&mut self, to: SocketAddr, gossip: Gossip) {
+        self.counts.sent += 1;
+        self.steps.push_back(Step::Send { to, gossip });
+    }
+
+    fn beat(&mut self, token: u64, number: u64) {
+        let (holder, source, version) = (self.seen.1.clone(), self.source, self.version);
+        for to in self.children() {
+            self.send(to, Gossip::Beat { token, holder: holder.clone(), number, source, version });
+        }
+    }
+
+    /// Passes a change on that was just taken in.
+    fn pass(&mut self, token: u64, change: &Change) {
+        let since = match self.changes.back() {
+            Some((since, to, _)) if *to == change.version && !change.whole => *since,
+            _ => 0,
+        };
+        for to in self.children() {
+            self.part(to, token, since, &change.lines);
+        }
+    }
+
+    fn give(&mut self, to: SocketAddr, since: u64) {
+        let token = self.seen.0;
+        // The changes since then, where all of them are kept; else the whole list.
+        let first = self.changes.iter().position(|(from, ..)| *from == since);
+        match first.filter(|_| since != 0) {
+            Some(first) => {
+                let mut lines: BTreeMap<String, Line> = BTreeMap::new();
+                for (_, _, changed) in self.changes.iter().skip(first) {
+                    lines.extend(changed.iter().map(|l| (l.key.clone(), l.clone())));
+                }
+                let lines: Vec<Line> = lines.into_values().collect();
+                self.part(to, token, since, &lines);
+            }
+            None => {
+                let lines: Vec<Line> = self.lines.values().cloned().collect();
+                self.part(to, token, 0, &lines);
+            }
+        }
+    }
+
+    fn part(&mut self, to: SocketAddr, token: u64, since: u64, lines: &[Line]) {
+        let mut parts: Vec<Vec<Line>> = vec![Vec::new()];
+        let mut room = PART;
+        for line in lines {
+            let size = line.bytes.len() + line.key.len() + 16;
+            if size > room && parts.last().is_some_and(|p| !p.is_empty()) {
+                parts.push(Vec::new());
+                room = PART;
+            }
+            room = room.saturating_sub(size);
+            if let Some(part) = parts.last_mut() {
+                part.push(line.clone());
+            }
+        }
+        // A list that is too long for this is one that each asks discovery for.
+        if parts.len() > PARTS {
+            return;
+        }
+        let (of, source, version) = (parts.len() as u16, self.source, self.version);
+        for (index, lines) in parts.into_iter().enumerate() {
+            let index = index as u16;
+            self.send(to, Gossip::Part { token, source, since, version, index, of, lines });
+        }
+    }
+
+    fn gather(&mut self, id: (u64, u64, u64, u16), index: u16, lines: Vec<Line>) -> Option<Vec<Line>> {
+        let of = usize::from(id.3);
+        if usize::from(index) >= of || of > PARTS {
+            return None;
+        }
+        if of == 1 {
+            return Some(lines);
+        }
+        if self.parts.as_ref().is_none_or(|p| p.id != id) {
+            self.parts = Some(Parts { id, lines: vec![None; of] });
+        }
+        let parts = self.parts.as_mut()?;
+        parts.lines[usize::from(index)] = Some(lines);
+        if parts.lines.iter().any(Option::is_none) {
+            return None;
+        }
+        Some(self.parts.take()?.lines.into_iter().flatten().flatten().collect())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    fn line(key: &str, gone: bool, length: usize) -> Line {
+        Line { key: key.into(), gone, bytes: vec![7; length] }
+    }
+
+    fn at(i: usize) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], 1000 + i as u16))
+    }
+
+    /// Nodes that hear each other at once.
+    struct Zone(Vec<Spread>, Vec<Vec<Change>>);
+
+    impl Zone {
+        fn new(nodes: usize) -> Zone {
+            let peers: Vec<(String, SocketAddr)> = (0..nodes).map(|i| (format!("n{i:03}"), at(i))).collect();
+            let node = |i: usize| {
+                let mut spread = Spread::new(&peers[i].0, 1);
+                spread.peers(peers.clone());
+                spread
+            };
+            Zone((0..nodes).map(node).collect(), vec![Vec::new(); nodes])
+        }
+
+        /// Brings all words, less those that `lost` says; the most that one node sent.
+        fn pass(&mut self, now: Duration, lost: impl Fn(usize, usize) -> bool) -> u64 {
+            let before: Vec<u64> = self.0.iter().map(|s| s.counts.sent).collect();
+            let mut quiet = false;
+            while !quiet {
+                quiet = true;
+                for from in 0..self.0.len() {
+                    while let Some(step) = self.0[from].step() {
+                        quiet = false;
+                        match step {
+                            Step::Send { to, gossip } => {
+                                let to = (to.port() - 1000) as usize;
+                                if !lost(from, to) {
+                                    self.0[to].hear(now, at(from), gossip);
+                                }
+                            }
+                            Step::Feed(change) => self.1[from].push(change),
+                            Step::Ask(_) => {}
+                        }
+                    }
+                }
+            }
+            self.0.iter().zip(before).map(|(s, b)| s.counts.sent - b).max().unwrap_or(0)
+        }
+    }
+
+    fn whole(version: u64, lines: Vec<Line>) -> Change {
+        Change { version, whole: true, lines }
+    }
+
+    #[test]
+    fn a_version_reaches_all_and_nobody_tells_more_than_a_few() {
+        let mut zone = Zone::new(300);
+        let now = MS * 1000;
+        zone.0[7].hold(now, 5);
+        let list: Vec<Line> = (0..400).map(|i| line(&format!("w{i}"), false, 300)).collect();
+        zone.0[7].told(now, &whole(3, list.clone()), true);
+        zone.0[7].tick(now, true);
+        let most = zone.pass(now, |_, _| false);
+        assert!(zone.0.iter().all(|s| s.version == 3 && s.lines.len() == 400));
+        assert!(most <= 8 * 8, "a whole list of some words to each of eight: {most}");
+        assert_eq!(zone.0.iter().filter(|s| s.asks).count(), 1, "the holder alone asks");
+        // A change costs one word to each.
+        let change = Change { version: 4, whole: false, lines: vec![line("w3", true, 0)] };
+        zone.0[7].told(now, &change, true);
+        let most = zone.pass(now, |_, _| false);
+        assert!(most <= 8 && zone.0.iter().all(|s| s.version == 4 && s.lines.len() == 399), "{most}");
+    }
+
+    #[test]
+    fn what_was_missed_comes_with_the_next_beat() {
+        let mut zone = Zone::new(20);
+        zone.0[0].hold(MS, 5);
+        zone.0[0].tick(MS, true);
+        zone.pass(MS, |_, _| false);
+        zone.0[0].told(MS, &whole(1, vec![line("a", false, 9), line("b", false, 9)]), true);
+        zone.pass(MS, |_, _| false);
+        for version in 2..5 {
+            let change = Change { version, whole: false, lines: vec![line("a", version == 4, 9)] };
+            zone.0[0].told(MS, &change, true);
+            zone.pass(MS, |_, to| to == 3 || to > 15);
+        }
+        assert_eq!((zone.0[3].version, zone.0[19].version), (1, 1));
+        let now = MS * 200;
+        zone.0[0].tick(now, true);
+        zone.pass(now, |_, _| false);
+        assert!(zone.0.iter().all(|s| s.version == 4 && s.lines.len() == 1));
+        assert_eq!(zone.1[3].last().unwrap().lines.len(), 1, "the changes, not the whole list");
+    }
+
+    /// An old holder's list never replaces a newer one, nor does a new holder's that is behind.
+    #[test]
+    fn a_list_never_goes_back() {
+        let mut zone = Zone::new(3);
+        zone.0[0].hold(MS, 5);
+        zone.0[0].told(MS, &whole(9, vec![line("a", false, 9)]), true);
+        zone.pass(MS, |_, _| false);
+        zone.0[1].hold(MS, 6);
+        zone.0[1].tick(MS, true);
+        zone.pass(MS, |_, _| false);
+        // The old one stood still and goes on.
+        let change = Change { version: 12, whole: true, lines: vec![] };
+        let part =
+            Gossip::Part { token: 5, source: 1, since: 0, version: 12, index: 0, of: 1, lines: vec![] };
+        zone.0[2].hear(MS, at(0), part);
+        assert_eq!((zone.0[2].version, zone.0[2].counts.refused), (9, 1));
+        // It hears of the next one, and tells nothing more even if discovery tells it.
+        zone.0[0].told(MS, &change, true);
+        zone.pass(MS, |_, _| false);
+        assert_eq!(zone.0[2].version, 9);
+        // The new one is told an older list by discovery.
+        zone.0[1].told(MS, &whole(8, vec![]), true);
+        zone.pass(MS, |_, _| false);
+        assert!(zone.0[2].version == 9 && zone.0[2].lines.len() == 1);
+        // From another discovery nothing counts here, until this node follows that one.
+        let part =
+            Gossip::Part { token: 7, source: 2, since: 0, version: 20, index: 0, of: 1, lines: vec![] };
+        zone.0[2].hear(MS, at(1), part.clone());
+        assert_eq!(zone.0[2].version, 9);
+        zone.0[2].moved(2);
+        zone.0[2].hear(MS, at(1), part);
+        assert_eq!(zone.0[2].version, 20);
+    }
+
+    #[test]
+    fn where_the_holder_falls_silent_all_ask_in_turn() {
+        let mut zone = Zone::new(100);
+        zone.0[0].hold(MS, 5);
+        zone.0[0].told(MS, &whole(1, vec![]), true);
+        zone.0[0].tick(MS, true);
+        zone.pass(MS, |_, _| false);
+        let mut asking = Vec::new();
+        for ms in 1..1500 {
+            let now = MS * ms;
+            for i in 1..100 {
+                if !zone.0[i].asks && zone.0[i].due() <= now {
+                    zone.0[i].tick(now, false);
+                    asking.push(ms);
+                }
+            }
+        }
+        assert_eq!(asking.len(), 99);
+        assert!(asking[0] > 490 && asking[98] < 900, "{asking:?}");
+        let most = asking.chunk_by(|a, b| a == b).map(<[u32]>::len).max().unwrap();
+        assert!(most <= 2, "{most} at once");
+        // The next holder: they let it be.
+        zone.0[4].hold(MS * 2000, 6);
+        zone.0[4].tick(MS * 2000, true);
+        zone.pass(MS * 2000, |_, _| false);
+        assert_eq!(zone.0.iter().filter(|s| s.asks).count(), 1);
+    }
+
+    #[test]
+    fn one_that_may_not_act_tells_nothing() {
+        let mut zone = Zone::new(3);
+        zone.0[0].hold(MS, 5);
+        zone.0[0].told(MS, &whole(2, vec![]), false);
+        zone.0[0].tick(MS, false);
+        assert_eq!(zone.pass(MS, |_, _| false), 0);
+        assert_eq!(zone.0[1].version, 0);
+    }
+}
--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -44,6 +44,8 @@
     pub lease: Duration,
     /// Without a leader, before a voter calls for an election.
     pub election: Duration,
+    /// Whether one node of each zone follows discovery for the others.
+    pub lists: bool,
     /// Calls that whoever holds the duty of that name makes.
     pub errands: Vec<Errand>,
 }
@@ -69,6 +71,8 @@
     lease_ms: Option<Spanned<u64>>,
     election_ms: Option<Spanned<u64>>,
     #[serde(default)]
+    lists: bool,
+    #[serde(default)]
     errand: Vec<RawErrand>,
 }
 
@@ -199,7 +203,7 @@
                 }
                 let lease = span(&d.lease_ms, 1, Duration::from_secs(10), 1000, 600_000)?;
                 let election = span(&d.election_ms, 1, Duration::from_secs(1), 100, 60_000)?;
-                Some(Duties { state: d.state.clone(), voters, lease, election, errands })
+                Some(Duties { state: d.state.clone(), voters, lease, election, lists: d.lists, errands })
             }
         };
         let listen = address(&raw.listen)?;
--- a/node/src/duties.rs
+++ b/node/src/duties.rs
@@ -3,8 +3,10 @@
 
 mod disk;
 mod errand;
+mod lists;
 mod show;
 
+pub use lists::Lists;
 pub use show::{seat, show};
 
 use crate::fleet;
@@ -13,8 +15,8 @@
 use ::fleet::{hash, Peer};
 use disk::Why;
 use duties::{
-    Action, BadStore, Client, Disk, Errand, Figures, Holder, Lost, Note, Reply, Seat, Setup, Standing, Store,
-    Timing, Told, Voter, Wish, Word,
+    Action, BadStore, Client, Counts, Disk, Errand, Figures, Gossip, Holder, Lost, Note, Reply, Seat, Setup,
+    Standing, Store, Timing, Told, Voter, Wish, Word,
 };
 use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
@@ -24,7 +26,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{interval, sleep, sleep_until, timeout, Instant, MissedTickBehavior};
 
 /// Wishes of operators that wait at most.
 const QUEUE: usize = 16;
@@ -34,10 +36,12 @@
 /// Between two tries to open a folder that another process of this node has.
 const OPEN_AGAIN: Duration = Duration::from_millis(200);
 /// For the voters' answer to an operator, and for each voter's.
-const ASK_WAIT: Duration = Duration::from_millis(1500);
-const ASK_EACH: Duration = Duration::from_millis(300);
+const ASK_WAIT: Duration = Duration::from_millis(800);
+const ASK_EACH: Duration = Duration::from_millis(200);
 /// For the last words of a node that ends.
 const LEAVE_WAIT: Duration = Duration::from_millis(300);
+/// Between two looks at which duties are wanted, where nothing changed.
+const SEEK_AGAIN: Duration = Duration::from_secs(2);
 /// Between two looks at what is to be done for the duties held here.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -45,6 +49,7 @@
 #[derive(Serialize, Deserialize)]
 enum Talk {
     Duties(Word),
+    Lists(Gossip),
 }
 
 /// A clock that goes on while the machine sleeps.
@@ -64,12 +69,25 @@
     pub figures: Figures,
     /// What it holds itself: duty, token, and for how many milliseconds it may yet act.
     pub here: Vec<(String, u64, u64)>,
+    /// How it comes to its worker list, where one node follows discovery for its zone.
+    pub lists: Option<ListsShown>,
     /// Acts that were refused because a later holder had been seen.
     pub refused: u64,
     /// What the voters tell; `None` where no leader answers.
     pub told: Option<Told>,
 }
 
+/// How a node comes to its worker list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListsShown {
+    /// Whether it asks discovery itself.
+    pub asks: bool,
+    /// The version that it has.
+    pub version: u64,
+    /// Counters.
+    pub counts: Counts,
+}
+
 enum Order {
     Show(oneshot::Sender<Shown>),
     Ask(Wish, oneshot::Sender<Reply>),
@@ -127,6 +145,8 @@
     pub fleet: fleet::Handle,
     /// Where the process is between its start and its end.
     pub phase: watch::Receiver<Phase>,
+    /// The way to who follows discovery, where that is shared.
+    pub lists: Option<Lists>,
 }
 
 /// Starts the task.
@@ -137,6 +157,10 @@
     let voters = links.file.voters.iter().map(|(_, at)| *at).collect();
     let (wrote, written) = mpsc::channel(4);
     let phase = *links.phase.borrow();
+    let mut links = links;
+    if let Some(lists) = &mut links.lists {
+        lists.named(&links.name);
+    }
     let task = Task {
         client: Client::new(who, timing, voters),
         timing,
@@ -193,9 +217,12 @@
 impl Task {
     async fn run(mut self, mut orders: mpsc::Receiver<Order>, mut done: mpsc::Receiver<Done>) {
         let Some(mut heard) = self.links.fleet.heard() else { return };
+        let mut told = self.links.lists.as_mut().and_then(|l| l.told.take());
         let mut peers = self.links.fleet.peers();
         let mut phase = self.links.phase.clone();
         self.open();
+        let mut again = interval(SEEK_AGAIN);
+        again.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             self.act();
             let now = boottime();
@@ -204,6 +231,11 @@
                 () = sleep_until(Instant::now() + due) => self.tick(),
                 Some((from, bytes)) = heard.recv() => self.hear(from, &bytes),
                 Some(outcome) = done.recv() => self.done(outcome),
+                Some(list) = lists::next(&mut told) => {
+                    let (now, holds) = (boottime(), self.holds_lists());
+                    self.lists(|l| l.told(now, &list, holds));
+                }
+                _ = again.tick() => self.seek(&peers.borrow().clone()),
                 Ok(()) = peers.changed() => self.seek(&peers.borrow_and_update().clone()),
                 Ok(()) = phase.changed() => {
                     let now = *phase.borrow_and_update();
@@ -236,7 +268,8 @@
         let held = |name: &str| self.client.may_act(now, name).is_some();
         let calls = self.calls.iter().filter(|(name, c)| !c.out && held(name)).map(|(_, c)| c.next);
         let calls = calls.min().map_or(Duration::MAX, |at| at.max(now + LOOK));
-        self.client.due().min(voter).min(asked).min(calls)
+        let lists = self.links.lists.as_ref().map_or(Duration::MAX, Lists::due);
+        self.client.due().min(voter).min(asked).min(calls).min(lists)
     }
 
     fn tick(&mut self) {
@@ -259,6 +292,36 @@
             }
         }
         self.call(now);
+        if self.links.lists.as_ref().is_some_and(|l| now >= l.due()) {
+            let holds = self.holds_lists();
+            self.lists(|l| l.tick(now, holds));
+        }
+    }
+
+    fn lists_duty(&self) -> String {
+        format!("lists/{}", self.links.zone)
+    }
+
+    /// Asked right before each word that a holder says to its zone.
+    fn holds_lists(&self) -> bool {
+        self.client.may_act(boottime(), &self.lists_duty()).is_some()
+    }
+
+    /// Does something with the zone's list, and brings the words that come of it.
+    fn lists(&mut self, what: impl FnOnce(&mut Lists)) {
+        let Some(lists) = &mut self.links.lists else { return };
+        what(lists);
+        for (to, gossip) in lists.carry_out() {
+            match postcard::to_stdvec(&Talk::Lists(gossip)) {
+                Ok(bytes) => self.links.fleet.bring(to, bytes),
+                Err(e) => log::error!("duties: a list can't be written: {e}"),
+            }
+        }
+        if self.links.lists.as_mut().is_some_and(|l| l.failing(boottime())) {
+            // Discovery does not answer here, and may answer another.
+            let duty = self.lists_duty();
+            self.client.give(boottime(), &duty);
+        }
     }
 
     /// The wanted duties of this node, as the view of the fleet has it: who asks is only a matter of load, never of right.
@@ -266,8 +329,17 @@
         let (now, serving) = (boottime(), self.phase.up());
         let boot = self.links.fleet.boot();
         let here = serving && peers.iter().any(|p| p.name == self.links.name && p.boot == boot);
-        let duties: Vec<String> = self.links.file.errands.iter().map(errand_duty).collect();
-        for duty in duties {
+        let all: Vec<&Peer> = peers.iter().collect();
+        let zone: Vec<&Peer> = peers.iter().filter(|p| p.zone == self.links.zone).collect();
+        let mut duties: Vec<(String, &[&Peer])> =
+            self.links.file.errands.iter().map(|e| (errand_duty(e), &all[..])).collect();
+        if let Some(lists) = &mut self.links.lists {
+            lists.peers(&zone);
+            if !lists.failed(now) {
+                duties.push((format!("lists/{}", self.links.zone), &zone[..]));
+            }
+        }
+        for (duty, peers) in duties {
             let place = |name: &str| hash(&format!("{duty}\n{name}"));
             let own = place(&self.links.name);
             let before = peers.iter().filter(|p| place(&p.name) < own).count();
@@ -377,6 +449,7 @@
                 }
                 self.client.answer(now, from, answer);
             }
+            Ok(Talk::Lists(gossip)) => self.lists(|l| l.hear(now, from, gossip)),
             Ok(Talk::Duties(word)) => {
                 if let Some((voter, _)) = &mut self.voter {
                     voter.word(now, from, word);
@@ -408,6 +481,7 @@
             voter: self.voter.as_ref().map(|(v, _)| v.standing()),
             figures: self.voter.as_ref().map(|(v, _)| v.figures()).unwrap_or_default(),
             here: here.collect(),
+            lists: self.links.lists.as_ref().map(Lists::shown),
             refused: self.refused,
             told: None,
         }
@@ -421,6 +495,9 @@
                 Errand::Taken { duty, token, .. } => {
                     log::info!(event = "duty_taken", duty = duty, token = token;
                         "duties: {duty} is this node's, under token {token}");
+                    if duty == self.lists_duty() {
+                        self.lists(|l| l.hold(boottime(), token));
+                    }
                     self.calls.insert(duty, Due { next: boottime(), out: false });
                 }
                 Errand::Lost { duty, token, why } => {
@@ -431,6 +508,9 @@
                     };
                     log::info!(event = "duty_lost", duty = duty, token = token, why:? = why;
                         "duties: {duty} is no more this node's: {said}");
+                    if duty == self.lists_duty() {
+                        self.lists(|l| l.release(boottime()));
+                    }
                     self.calls.remove(&duty);
                 }
             }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -97,10 +97,14 @@
             })?),
             _ => None,
         };
+        let mut shared = None;
         let duties = match (&fleet, &config, duties_file) {
             (Some(fleet), Some(config), Some((file, folder, fleet_name, zone, own))) => {
                 let (name, fleet, phase) = (config.name.clone(), fleet.clone(), phases.follow());
-                Some(duties::start(duties::Links { name, fleet_name, zone, own, file, folder, fleet, phase }))
+                let (lists, theirs) = duties::Lists::pair(file.lists, reload.discovery());
+                shared = theirs;
+                let links = duties::Links { name, fleet_name, zone, own, file, folder, fleet, phase, lists };
+                Some(duties::start(links))
             }
             _ => None,
         };
@@ -156,7 +160,8 @@
                     };
                     let counters = counters[0].clone();
                     let (phases, fleet) = (phases.clone(), fleet.clone());
-                    let links = Links { counters, phases, discovery, tuning, ready, before, place, fleet };
+                    let links =
+                        Links { counters, phases, discovery, tuning, ready, before, place, fleet, shared };
                     platform::serve(config, listener, links).await
                 }
                 None => Ok(()),
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -61,6 +61,11 @@
 }
 
 impl Member {
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Where it listens.
     pub fn address(&self) -> (WorkerId, SocketAddr) {
         (WorkerId(number_of(&self.id)), self.host_port)
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -46,6 +47,40 @@
     pub seed: u64,
     /// All workers, as told last.
     pub latest: Arc<Mutex<ListBody>>,
+    /// Where one node follows discovery for others: the way there and back.
+    pub shared: Option<Shared>,
+}
+
+/// How the nodes of a zone share their calls for lists.
+pub struct Shared {
+    /// Whether discovery is asked from here.
+    pub asks: watch::Receiver<bool>,
+    /// Lists of the node that asks for all.
+    pub fed: mpsc::Receiver<ListBody>,
+    /// What discovery told here.
+    pub told: mpsc::Sender<ListBody>,
+    /// Whether discovery gives no answer here.
+    pub down: Arc<AtomicBool>,
+}
+
+/// A word of those who share.
+enum Word {
+    Ask(bool),
+    Fed(ListBody),
+}
+
+impl Shared {
+    /// The next word; none comes where nothing is shared, or no more.
+    async fn next(shared: &mut Option<Shared>) -> Word {
+        if let Some(Shared { asks, fed, .. }) = shared {
+            tokio::select! {
+                Ok(()) = asks.changed() => return Word::Ask(*asks.borrow_and_update()),
+                Some(list) = fed.recv() => return Word::Fed(list),
+                else => {}
+            }
+        }
+        std::future::pending().await
+    }
 }
 
 type Sender = SendRequest<Empty<Bytes>>;
@@ -53,15 +88,17 @@
 
 impl Lists {
     /// Feeds the list that was known, then all that discovery tells, wherever it is at each moment.
-    pub async fn follow(self, mut place: Place, known: Option<ListBody>) {
+    pub async fn follow(mut self, mut place: Place, known: Option<ListBody>) {
+        let mut shared = self.shared.take();
+        let down = shared.as_ref().map_or_else(Arc::default, |s| s.down.clone());
         // The list that was known is a version of discovery's own: it tells what has changed since.
-        let version = known.as_ref().map(|known| known.revision);
+        let mut version = known.as_ref().map(|known| known.revision);
         if let Some(known) = known {
             self.feed(&ListBody { complete: true, ..known });
         }
         let start = |at: Option<SocketAddr>, version, place: &Place| {
             let pauses = Pauses::new(self.siblings, self.seed);
-            at.map(|at| Source::start(at, version, place.clone(), pauses))
+            at.map(|at| Source::start(at, version, place.clone(), pauses, down.clone()))
         };
         let first = *place.borrow_and_update();
         let mut source = start(first, version, &place);
@@ -73,16 +110,36 @@
                     let at = *place.borrow_and_update();
                     next = start(at, None, &place);
                 }
+                word = Shared::next(&mut shared) => match word {
+                    Word::Ask(true) => source = start(*place.borrow(), version, &place),
+                    Word::Ask(false) => source = None,
+                    Word::Fed(list) => {
+                        version = Some(list.revision);
+                        self.take(&list);
+                    }
+                },
                 // Guards the list while discovery moves: the old address counts until the new one has told all.
                 list = heard(&mut next) => {
-                    self.take(&list);
+                    version = Some(list.revision);
+                    self.told(&shared, list);
                     source = next.take();
                 }
-                list = heard(&mut source) => self.take(&list),
+                list = heard(&mut source) => {
+                    version = Some(list.revision);
+                    self.told(&shared, list);
+                }
             }
         }
     }
 
+    fn told(&self, shared: &Option<Shared>, list: ListBody) {
+        self.take(&list);
+        if let Some(shared) = shared {
+            // One that finds no room is made up for by the whole list of later.
+            let _ = shared.told.try_send(list);
+        }
+    }
+
     fn take(&self, list: &ListBody) {
         self.feed(list);
         self.counters.lists.add();
@@ -106,9 +163,15 @@
 }
 
 impl Source {
-    fn start(at: SocketAddr, version: Option<u64>, place: Place, pauses: Pauses) -> Source {
+    fn start(
+        at: SocketAddr,
+        version: Option<u64>,
+        place: Place,
+        pauses: Pauses,
+        down: Arc<AtomicBool>,
+    ) -> Source {
         let (tell, lists) = mpsc::channel(1);
-        Source { lists, task: tokio::spawn(calls(at, version, place, pauses, tell)).abort_handle() }
+        Source { lists, task: tokio::spawn(calls(at, version, place, pauses, tell, down)).abort_handle() }
     }
 }
 
@@ -163,15 +226,16 @@
     place: Place,
     mut pauses: Pauses,
     tell: mpsc::Sender<ListBody>,
+    down: Arc<AtomicBool>,
 ) {
     let mut connection: Option<Sender> = None;
-    let mut down = false;
+    down.store(false, Ordering::Relaxed);
     loop {
         match call(&mut connection, at, version.map(|version| (version, pauses.wait))).await {
             Ok(list) => {
                 version = Some(list.revision);
                 pauses.answered();
-                if std::mem::take(&mut down) {
+                if down.swap(false, Ordering::Relaxed) {
                     log::info!("discovery: {at} reached again");
                 }
                 if tell.send(list).await.is_err() {
@@ -184,7 +248,7 @@
                     return;
                 }
                 // Said once for each time that it has none for us, not with each call.
-                if !std::mem::replace(&mut down, true) {
+                if !down.swap(true, Ordering::Relaxed) {
                     log::warn!("discovery: {at}: {e}");
                 }
                 match e {
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -14,6 +14,7 @@
 pub mod socket;
 mod stock;
 
+pub use follow::Shared;
 pub use server::listen;
 
 use crate::config::Config;
@@ -126,6 +127,8 @@
     pub place: Option<PathBuf>,
     /// The talk between nodes, where it is on.
     pub fleet: Option<fleet::Handle>,
+    /// How calls for lists are shared, where they are.
+    pub shared: Option<Shared>,
 }
 
 /// The settings with what this wire adds: a worker answers 200 once it has taken a job; and with what the fleet tells.
@@ -180,7 +183,7 @@
 /// Serves the platform, with discovery where `discovery` says at each moment, until the node is told to stop, or
 /// another process has taken its place, and all that was taken is answered.
 pub async fn serve(config: Config, listener: TcpListener, links: Links) -> Result<(), String> {
-    let Links { counters, phases, discovery, mut tuning, ready, before, place, fleet } = links;
+    let Links { counters, phases, discovery, mut tuning, ready, before, place, fleet, shared } = links;
     let Config { seed, limits, .. } = config;
     let Tuning { settings, names: first } = tuning.borrow_and_update().clone();
     let (tell_names, names) = watch::channel(Arc::new(first.clone()));
@@ -217,6 +220,7 @@
         siblings,
         seed,
         latest: stock.latest.clone(),
+        shared,
     };
     tokio::spawn(lists.follow(discovery, known));
     tokio::spawn({
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -340,6 +340,7 @@
             before,
             place,
             fleet: None,
+            shared: None,
         };
         let served = tokio::spawn(platform::serve(config, listener, links));
         is_ready.wait_for(|ready| *ready).await.unwrap();
--- a/node/tests/duties.rs
+++ b/node/tests/duties.rs
@@ -4,10 +4,11 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rig::acts::violations;
+use rig::load::{play, Load};
 use rig::process::call;
 use rig::relay::Rule;
 use rig::resource::Resource;
-use rig::yard::{Duties, Spec, Yard};
+use rig::yard::{Duties, Spec, Yard, TENANTS};
 use rustix::process::Signal;
 use serde_json::Value;
 use std::process::Command;
@@ -37,7 +38,7 @@
     let mut yard = Yard::prepare(spec).await.unwrap();
     let resource = Resource::start(yard.spare(0)).await.unwrap();
     let errands = vec![("stamp".to_string(), resource.address, 50)];
-    yard.spec.duties = Some(Duties { voters, lease_ms: LEASE_MS, errands });
+    yard.spec.duties = Some(Duties { voters, lease_ms: LEASE_MS, lists: false, errands });
     (0..nodes).for_each(|i| yard.start_node(i).unwrap());
     let stage = Stage { yard, resource };
     stage.acts_after(0).await;
@@ -278,6 +279,91 @@
     stage.right();
 }
 
+/// The version of the list that a node has, and whether it asks discovery itself.
+async fn list_of(yard: &Yard, i: usize) -> Option<(u64, bool)> {
+    let lists = &yard.duties(i).await?["lists"];
+    Some((lists["version"].as_u64()?, lists["asks"].as_bool()?))
+}
+
+/// Those of these nodes that ask discovery themselves; `None` where not all have this version.
+async fn asking(yard: &Yard, nodes: &[usize], version: u64) -> Option<Vec<usize>> {
+    let mut asking = Vec::new();
+    for i in nodes {
+        let (has, asks) = list_of(yard, *i).await?;
+        if has != version {
+            return None;
+        }
+        if asks {
+            asking.push(*i);
+        }
+    }
+    Some(asking)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_node_of_each_zone_follows_discovery_and_drains_are_kept_by_all() {
+    let _place = place().await;
+    let spec = Spec { workers: 4, quota: 60.0, ..Spec::new(env!("CARGO_BIN_EXE_molevale"), 8) };
+    let mut yard = Yard::prepare(spec).await.unwrap();
+    yard.spec.duties = Some(Duties { voters: 3, lease_ms: LEASE_MS, lists: true, errands: Vec::new() });
+    (0..8).for_each(|i| yard.start_node(i).unwrap());
+    let all: Vec<usize> = (0..8).collect();
+    let until_two_ask = async |yard: &Yard, nodes: &[usize]| {
+        let start = Instant::now();
+        loop {
+            let asking = asking(yard, nodes, yard.discovery.version()).await;
+            if asking.as_ref().is_some_and(|a| a.len() == 2 && a[0] % 2 != a[1] % 2) {
+                return asking.unwrap();
+            }
+            assert!(start.elapsed() < BOUND, "{asking:?} ask");
+            sleep(S / 20).await;
+        }
+    };
+    until_two_ask(&yard, &all).await;
+    // Calm: a watch of each holder, and nobody else's.
+    sleep(S).await;
+    let before = yard.discovery.calls();
+    sleep(6 * S).await;
+    let calls = yard.discovery.calls() - before;
+    assert!(calls <= 6, "{calls} calls in 6 s, of 8 nodes");
+
+    // A worker drains under load: 500 ms after the first was told, nobody sends it anything new.
+    let load = Load { rate: 40.0, length: 12 * S, seed: 5, tenants: TENANTS.map(String::from).to_vec() };
+    let nodes = all.iter().map(|i| yard.listen(*i)).collect();
+    let load = tokio::spawn(play(load, nodes));
+    let sent = |yard: &Yard, n: usize| {
+        let seen = yard.workers[n].as_ref().map(|w| w.0.seen());
+        seen.map_or(0, |s| s.sent.values().sum::<u64>())
+    };
+    sleep(3 * S).await;
+    assert!(sent(&yard, 1) > 0);
+    yard.list_draining(1);
+    sleep(S / 2).await;
+    let at_most = sent(&yard, 1);
+    sleep(S).await;
+    assert_eq!(sent(&yard, 1), at_most);
+    // The holder of a zone dies; the next drain is kept all the same.
+    let holder = until_two_ask(&yard, &all).await[0];
+    yard.kill(holder);
+    let rest: Vec<usize> = all.iter().copied().filter(|i| *i != holder).collect();
+    yard.list_draining(2);
+    sleep(2 * S).await;
+    let at_most = sent(&yard, 2);
+    sleep(S).await;
+    assert_eq!(sent(&yard, 2), at_most);
+    until_two_ask(&yard, &rest).await;
+    let report = load.await.unwrap();
+    assert!(report.worth > 0.6, "{report}");
+    // Without a voter: all ask, as without the duty.
+    (0..3).filter(|v| *v != holder).for_each(|v| yard.kill(v));
+    let rest: Vec<usize> = rest.into_iter().filter(|i| *i > 2).collect();
+    let start = Instant::now();
+    while asking(&yard, &rest, yard.discovery.version()).await.is_none_or(|a| a.len() != rest.len()) {
+        assert!(start.elapsed() < BOUND, "not all ask");
+        sleep(S / 20).await;
+    }
+}
+
 /// Faults drawn by seed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drawn_faults_never_let_two_act_and_end_with_a_holder() {
--- a/node/tests/management.rs
+++ b/node/tests/management.rs
@@ -17,7 +17,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
     let (phases, (ready, follow)) = (Phases::default(), watch::channel(false));
-    tokio::spawn(Management { phases: phases.clone(), ready: follow, fleet: None, duties: None }.serve(listener));
+    tokio::spawn(
+        Management { phases: phases.clone(), ready: follow, fleet: None, duties: None }.serve(listener),
+    );
     (at, phases, ready)
 }
 
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -53,6 +53,11 @@
         self.list.send_modify(|list| *list = (list.0 + 1, members));
     }
 
+    /// The version of the list.
+    pub fn version(&self) -> u64 {
+        self.list.borrow().0
+    }
+
     /// The calls so far.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
--- a/rig/src/yard.rs
+++ b/rig/src/yard.rs
@@ -57,6 +57,8 @@
     pub voters: usize,
     /// For which a duty is granted.
     pub lease_ms: u64,
+    /// Whether one node of each zone follows discovery for the others.
+    pub lists: bool,
     /// Calls that one node makes for all: name, whom, how often.
     pub errands: Vec<(String, SocketAddr, u64)>,
 }
@@ -231,9 +233,10 @@
             let voters: Vec<String> = (0..d.voters).map(voter).collect();
             let state = if i < d.voters || self.stateful.contains(&i) { "state = \"state\"\n" } else { "" };
             duties = format!(
-                "[duties]\n{state}voters = [{}]\nlease_ms = {}\nelection_ms = 500\n",
+                "[duties]\n{state}voters = [{}]\nlease_ms = {}\nelection_ms = 500\nlists = {}\n",
                 voters.join(", "),
-                d.lease_ms
+                d.lease_ms,
+                d.lists
             );
             for (name, at, every) in &d.errands {
                 duties += &format!(
@@ -289,6 +292,14 @@
         self.discovery.tell(self.lines());
     }
 
+    /// The same, with one worker that drains.
+    pub fn list_draining(&self, n: usize) {
+        let mut lines = self.lines();
+        let id = format!("w{n:03}");
+        lines.iter_mut().filter(|l| l["id"] == id.as_str()).for_each(|l| l["phase"] = "terminating".into());
+        self.discovery.tell(lines);
+    }
+
     /// One worker more; discovery is not told. Returns its number.
     pub async fn add_worker(&mut self, cold: bool) -> io::Result<usize> {
         let n = self.workers.len();
