--- a/duties/src/client.rs
+++ b/duties/src/client.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Whether the word left for the next holder has yet to be agreed on.
+    pub fn leaving(&self, duty: &str) -> bool {
+        self.wants.get(duty).is_some_and(|w| w.leave.is_some())
+    }
+
     /// The token under which this node may act on a duty at this moment. To be asked right before each act.
     pub fn may_act(&self, now: Duration, duty: &str) -> Option<u64> {
         let lease = self.wants.get(duty)?.lease.filter(|l| now < l.until)?;
--- a/duties/src/lib.rs
+++ b/duties/src/lib.rs
@@ -13,6 +13,7 @@
 mod client;
 mod fence;
 mod log;
+mod roll;
 mod spread;
 mod store;
 mod table;
@@ -21,6 +22,7 @@
 
 pub use client::{Client, Errand, Lost};
 pub use fence::{Fence, Stale};
+pub use roll::{End, Member, Move, Progress, Roll};
 pub use spread::{Change as ListChange, Counts, Gossip, Line, Spread, Step};
 pub use store::{BadStore, Batch, Disk, Folder, Store};
 pub use table::{Change, Held, Holder, Seat, Table, What, DUTIES_MAX, HISTORY};
--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -46,6 +46,8 @@
     pub election: Duration,
     /// Whether one node of each zone follows discovery for the others.
     pub lists: bool,
+    /// Whether operators may have the nodes restarted one after another.
+    pub roll: bool,
     /// Calls that whoever holds the duty of that name makes.
     pub errands: Vec<Errand>,
 }
@@ -73,6 +75,8 @@
     #[serde(default)]
     lists: bool,
     #[serde(default)]
+    roll: bool,
+    #[serde(default)]
     errand: Vec<RawErrand>,
 }
 
@@ -203,7 +207,8 @@
                 }
                 let lease = span(&d.lease_ms, 1, Duration::from_secs(10), 1000, 600_000)?;
                 let election = span(&d.election_ms, 1, Duration::from_secs(1), 100, 60_000)?;
-                Some(Duties { state: d.state.clone(), voters, lease, election, lists: d.lists, errands })
+                let (state, lists, roll) = (d.state.clone(), d.lists, d.roll);
+                Some(Duties { state, voters, lease, election, lists, roll, errands })
             }
         };
         let listen = address(&raw.listen)?;
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -51,6 +51,17 @@
     /// Adds or removes one of those that grant the duties.
     #[command(subcommand)]
     Voter(Voter),
+    /// Has all nodes drain and end, one after another, to be started anew by whoever runs them.
+    Roll {
+        /// A node's management address.
+        address: SocketAddr,
+        /// Nodes of one zone that may be away at once.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=4))]
+        away: u8,
+        /// Stops the roll that is under way.
+        #[arg(long, conflicts_with = "away")]
+        stop: bool,
+    },
 }
 
 /// What to do with a voter.
@@ -80,11 +91,15 @@
         match self {
             Fleet::Show { address, json } => fleet::show(address, json).await,
             Fleet::Duties { address, json } => duties::show(address, json).await,
+            Fleet::Roll { address, stop: true, .. } => duties::post(address, "/fleet/roll/stop").await,
+            Fleet::Roll { address, away, .. } => {
+                duties::post(address, &format!("/fleet/roll?away={away}")).await
+            }
             Fleet::Voter(Voter::Add { address, name, at }) => {
-                duties::seat(address, &format!("/fleet/voter/add?name={name}&at={at}")).await
+                duties::post(address, &format!("/fleet/voter/add?name={name}&at={at}")).await
             }
             Fleet::Voter(Voter::Remove { address, name }) => {
-                duties::seat(address, &format!("/fleet/voter/remove?name={name}")).await
+                duties::post(address, &format!("/fleet/voter/remove?name={name}")).await
             }
         }
     }
--- a/node/src/duties.rs
+++ b/node/src/duties.rs
@@ -4,13 +4,16 @@
 mod disk;
 mod errand;
 mod lists;
+mod roll;
 mod show;
 
 pub use lists::Lists;
-pub use show::{seat, show};
+pub use roll::Wanted;
+pub use show::{post, show};
 
+use crate::counters::Counters;
 use crate::fleet;
-use crate::phase::Phase;
+use crate::phase::{Phase, Phases};
 use ::fleet::file::{Duties as File, Errand as Call};
 use ::fleet::{hash, Peer};
 use disk::Why;
@@ -50,6 +53,7 @@
 enum Talk {
     Duties(Word),
     Lists(Gossip),
+    Roll(roll::Word),
 }
 
 /// A clock that goes on while the machine sleeps.
@@ -91,6 +95,7 @@
 enum Order {
     Show(oneshot::Sender<Shown>),
     Ask(Wish, oneshot::Sender<Reply>),
+    Roll(String, Wanted, oneshot::Sender<bool>),
     Leave(oneshot::Sender<()>),
 }
 
@@ -118,6 +123,22 @@
         timeout(ASK_WAIT, told).await.ok()?.ok()
     }
 
+    /// An operator wants a roll to begin or to stop: whom that was told, or why not.
+    pub async fn roll(&self, wanted: Wanted) -> Result<String, String> {
+        let Some(Reply::Shown(told)) = self.ask(Wish::Show).await else {
+            return Err("no voter that leads answers".to_string());
+        };
+        let held = |ms: &u64| *ms > 0;
+        let held = told.left_ms.iter().any(|(duty, ms)| duty == roll::DUTY && held(ms));
+        let Some(holder) = told.table.holder(roll::DUTY).filter(|_| held) else {
+            return Err("nobody holds the duty 'roll': does the fleet's file say roll = true?".to_string());
+        };
+        let (tell, said) = oneshot::channel();
+        let order = Order::Roll(holder.name.clone(), wanted, tell);
+        let sent = self.0.send(order).await.is_ok() && said.await.unwrap_or(false);
+        sent.then(|| holder.name.clone()).ok_or(format!("{} holds it and is not in the view", holder.name))
+    }
+
     /// The node ends: its duties are given back, and another voter leads.
     pub async fn leave(&self) {
         let (tell, told) = oneshot::channel();
@@ -147,6 +168,10 @@
     pub phase: watch::Receiver<Phase>,
     /// The way to who follows discovery, where that is shared.
     pub lists: Option<Lists>,
+    /// What a roll tells to drain and to end.
+    pub phases: Phases,
+    /// How the jobs here end.
+    pub counters: Arc<Counters>,
 }
 
 /// Starts the task.
@@ -171,6 +196,7 @@
         calls: BTreeMap::new(),
         refused: 0,
         phase,
+        roll: roll::Hand::default(),
         links,
     };
     tokio::spawn(task.run(told, written));
@@ -208,6 +234,7 @@
     calls: BTreeMap<String, Due>,
     refused: u64,
     phase: Phase,
+    roll: roll::Hand,
 }
 
 fn errand_duty(call: &Call) -> String {
@@ -246,6 +273,13 @@
                 Some(order) = orders.recv() => match order {
                     Order::Show(tell) => drop(tell.send(self.shown())),
                     Order::Ask(wish, tell) => self.ask(wish, tell),
+                    Order::Roll(holder, wanted, tell) => {
+                        let to = peers.borrow().iter().find(|p| p.name == holder).map(|p| p.address);
+                        if let Some(to) = to {
+                            self.say(to, &Talk::Roll(roll::Word::Wanted(wanted)));
+                        }
+                        let _ = tell.send(to.is_some()); // fails where nobody waits any more
+                    }
                     Order::Leave(tell) => {
                         self.seek(&[]);
                         if let Some((voter, _)) = &mut self.voter {
@@ -269,7 +303,7 @@
         let calls = self.calls.iter().filter(|(name, c)| !c.out && held(name)).map(|(_, c)| c.next);
         let calls = calls.min().map_or(Duration::MAX, |at| at.max(now + LOOK));
         let lists = self.links.lists.as_ref().map_or(Duration::MAX, Lists::due);
-        self.client.due().min(voter).min(asked).min(calls).min(lists)
+        self.client.due().min(voter).min(asked).min(calls).min(lists).min(self.roll.due())
     }
 
     fn tick(&mut self) {
@@ -292,6 +326,9 @@
             }
         }
         self.call(now);
+        if now >= self.roll.due() {
+            self.roll_on(now);
+        }
         if self.links.lists.as_ref().is_some_and(|l| now >= l.due()) {
             let holds = self.holds_lists();
             self.lists(|l| l.tick(now, holds));
@@ -312,10 +349,7 @@
         let Some(lists) = &mut self.links.lists else { return };
         what(lists);
         for (to, gossip) in lists.carry_out() {
-            match postcard::to_stdvec(&Talk::Lists(gossip)) {
-                Ok(bytes) => self.links.fleet.bring(to, bytes),
-                Err(e) => log::error!("duties: a list can't be written: {e}"),
-            }
+            self.say(to, &Talk::Lists(gossip));
         }
         if self.links.lists.as_mut().is_some_and(|l| l.failing(boottime())) {
             // Discovery does not answer here, and may answer another.
@@ -339,6 +373,9 @@
                 duties.push((format!("lists/{}", self.links.zone), &zone[..]));
             }
         }
+        if self.links.file.roll {
+            duties.push((roll::DUTY.to_string(), &all[..]));
+        }
         for (duty, peers) in duties {
             let place = |name: &str| hash(&format!("{duty}\n{name}"));
             let own = place(&self.links.name);
@@ -449,6 +486,7 @@
                 }
                 self.client.answer(now, from, answer);
             }
+            Ok(Talk::Roll(word)) => self.roll_word(from, word),
             Ok(Talk::Lists(gossip)) => self.lists(|l| l.hear(now, from, gossip)),
             Ok(Talk::Duties(word)) => {
                 if let Some((voter, _)) = &mut self.voter {
@@ -492,12 +530,15 @@
         while let Some(errand) = self.client.errand() {
             match errand {
                 Errand::Send { to, ask } => self.bring(to, Word::Ask(ask)),
-                Errand::Taken { duty, token, .. } => {
+                Errand::Taken { duty, token, left } => {
                     log::info!(event = "duty_taken", duty = duty, token = token;
                         "duties: {duty} is this node's, under token {token}");
                     if duty == self.lists_duty() {
                         self.lists(|l| l.hold(boottime(), token));
                     }
+                    if duty == roll::DUTY {
+                        self.roll.take(&self.links.name, &left);
+                    }
                     self.calls.insert(duty, Due { next: boottime(), out: false });
                 }
                 Errand::Lost { duty, token, why } => {
@@ -511,6 +552,9 @@
                     if duty == self.lists_duty() {
                         self.lists(|l| l.release(boottime()));
                     }
+                    if duty == roll::DUTY {
+                        self.roll.lose();
+                    }
                     self.calls.remove(&duty);
                 }
             }
@@ -534,12 +578,60 @@
     }
 
     fn bring(&self, to: SocketAddr, word: Word) {
-        match postcard::to_stdvec(&Talk::Duties(word)) {
+        self.say(to, &Talk::Duties(word));
+    }
+
+    fn say(&self, to: SocketAddr, talk: &Talk) {
+        match postcard::to_stdvec(talk) {
             Ok(bytes) => self.links.fleet.bring(to, bytes),
             Err(e) => log::error!("duties: a word can't be written: {e}"),
         }
     }
 
+    /// Goes on with the roll, if the duty may be acted on now.
+    fn roll_on(&mut self, now: Duration) {
+        let peers = self.links.fleet.peers().borrow().clone();
+        let held = self.client.may_act(now, roll::DUTY);
+        self.roll.look(now, &peers, held.is_some() && !self.client.leaving(roll::DUTY));
+        if let Some(left) = self.roll.left() {
+            self.client.leave(now, roll::DUTY, left);
+        }
+        // What is left for the next holder is agreed on before anybody is told to go.
+        let ready = !self.client.leaving(roll::DUTY);
+        while ready {
+            let Some((to, word)) = self.roll.word() else { break };
+            // Asked for anew before each act.
+            let Some(token) = self.client.may_act(boottime(), roll::DUTY) else { break };
+            self.say(to, &Talk::Roll(word(token)));
+        }
+    }
+
+    fn roll_word(&mut self, from: SocketAddr, word: roll::Word) {
+        let now = boottime();
+        match word {
+            roll::Word::Wanted(wanted) if self.client.may_act(now, roll::DUTY).is_some() => {
+                let peers = self.links.fleet.peers().borrow().clone();
+                self.roll.wanted(&self.links.name, wanted, &peers);
+            }
+            roll::Word::Wanted(_) => {}
+            roll::Word::Go { token, boot } => match self.roll.fence.pass(roll::DUTY, token) {
+                Ok(()) if boot == self.links.fleet.boot() => self.roll.go(&self.links.phases),
+                Ok(()) => {}
+                Err(e) => log::warn!(event = "act_refused", duty = roll::DUTY, token = token;
+                    "duties: this node was told to go by a holder that is none any more: {e}"),
+            },
+            roll::Word::Look { token } => {
+                if self.roll.fence.pass(roll::DUTY, token).is_ok() {
+                    let c = &self.links.counters;
+                    let (failed, served, refused) = (c.failed.get(), c.served.get(), c.refused.get());
+                    let (boot, ended) = (self.links.fleet.boot(), served + refused + failed);
+                    self.say(from, &Talk::Roll(roll::Word::Health { boot, failed, ended }));
+                }
+            }
+            roll::Word::Health { boot, failed, ended } => self.roll.health(boot, failed, ended),
+        }
+    }
+
     /// Makes the calls that are due. The right to each is asked for right before it.
     fn call(&mut self, now: Duration) {
         for call in &self.links.file.errands {
--- a/node/src/duties/show.rs
+++ b/node/src/duties/show.rs
@@ -4,7 +4,7 @@
 use crate::ask::ask;
 use comfy_table::presets::NOTHING;
 use comfy_table::Table;
-use duties::{Standing, Told, What};
+use duties::{Progress, Standing, Told, What};
 use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -23,8 +23,8 @@
     Ok(text(&shown))
 }
 
-/// An operator's word on the voters: `path` says which.
-pub async fn seat(address: SocketAddr, path: &str) -> Result<String, String> {
+/// An operator's word: `path` says which.
+pub async fn post(address: SocketAddr, path: &str) -> Result<String, String> {
     let (status, body) = ask(address, Method::POST, path).await?;
     let said = String::from_utf8_lossy(&body).trim().to_string();
     match status {
@@ -83,5 +83,16 @@
     }
     let voters: Vec<String> =
         told.table.seats.values().map(|s| format!("{} ({})", s.name, s.address)).collect();
-    format!("voters: {}; term {}\n{duties}\n\n{history}\n", voters.join(", "), told.term)
+    let left = told.table.held.get(super::roll::DUTY).map_or(&[][..], |h| &h.left);
+    let roll = match postcard::from_bytes::<Progress>(left) {
+        Ok(Progress { done, total, end: Some(end), .. }) => {
+            format!("last roll: {done} of {total}, ended: {end:?}\n")
+        }
+        Ok(Progress { done, total, under_way, .. }) => {
+            let names: Vec<&str> = under_way.iter().map(|(n, _)| n.as_str()).collect();
+            format!("roll: {done} of {total}, under way: {}\n", names.join(", "))
+        }
+        Err(_) => String::new(),
+    };
+    format!("voters: {}; term {}\n{roll}{duties}\n\n{history}\n", voters.join(", "), told.term)
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -97,14 +97,27 @@
             })?),
             _ => None,
         };
+        let counters = [Arc::new(Counters::default()), Arc::new(Counters::default())];
         let mut shared = None;
         let duties = match (&fleet, &config, duties_file) {
             (Some(fleet), Some(config), Some((file, folder, fleet_name, zone, own))) => {
                 let (name, fleet, phase) = (config.name.clone(), fleet.clone(), phases.follow());
                 let (lists, theirs) = duties::Lists::pair(file.lists, reload.discovery());
                 shared = theirs;
-                let links = duties::Links { name, fleet_name, zone, own, file, folder, fleet, phase, lists };
-                Some(duties::start(links))
+                let (phases, counters) = (phases.clone(), counters[0].clone());
+                Some(duties::start(duties::Links {
+                    name,
+                    fleet_name,
+                    zone,
+                    own,
+                    file,
+                    folder,
+                    fleet,
+                    phase,
+                    lists,
+                    phases,
+                    counters,
+                }))
             }
             _ => None,
         };
@@ -120,7 +133,6 @@
             };
             tokio::spawn(management.serve(listener));
         }
-        let counters = [Arc::new(Counters::default()), Arc::new(Counters::default())];
         let say = |counters: &[Arc<Counters>; 2]| {
             log::info!("counters: platform {}", counters[0]);
             log::info!("counters: faktory {}", counters[1]);
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -82,9 +82,12 @@
         let (method, path) = (request.method(), request.uri().path());
         let allowed = match path {
             "/healthcheck" | "/fleet" | "/fleet/duties" => Method::GET,
-            "/healthcheck/fail" | "/healthcheck/ok" | "/fleet/voter/add" | "/fleet/voter/remove" => {
-                Method::POST
-            }
+            "/healthcheck/fail"
+            | "/healthcheck/ok"
+            | "/fleet/voter/add"
+            | "/fleet/voter/remove"
+            | "/fleet/roll"
+            | "/fleet/roll/stop" => Method::POST,
             _ => return say(StatusCode::NOT_FOUND, "there is no such call"),
         };
         if *method != allowed {
@@ -98,6 +101,9 @@
             "/fleet/voter/add" | "/fleet/voter/remove" => {
                 return self.seat(path, request.uri().query().unwrap_or("")).await;
             }
+            "/fleet/roll" | "/fleet/roll/stop" => {
+                return self.roll(path, request.uri().query().unwrap_or("")).await;
+            }
             _ => {}
         }
         let (yes, text) = match path {
@@ -131,6 +137,27 @@
         }
     }
 
+    /// An operator's word on a roll, `away=...`.
+    async fn roll(&self, path: &str, query: &str) -> Response<Full<Bytes>> {
+        let Some(duties) = &self.duties else { return say(StatusCode::NOT_FOUND, NO_DUTIES) };
+        let away = query.strip_prefix("away=").map_or(Ok(1), str::parse);
+        let wanted = match (path, away) {
+            ("/fleet/roll/stop", _) => duties::Wanted::Stop,
+            (_, Ok(away @ 1..=4)) => {
+                let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                duties::Wanted::Begin { id: unix.as_millis() as u64, away }
+            }
+            _ => return say(StatusCode::BAD_REQUEST, "away is from 1 to 4"),
+        };
+        log::info!("management: {path}?{query}");
+        match duties.roll(wanted).await {
+            Ok(holder) => {
+                say(StatusCode::OK, &format!("{holder} was told; 'fleet duties' shows how it goes"))
+            }
+            Err(why) => say(StatusCode::SERVICE_UNAVAILABLE, &why),
+        }
+    }
+
     /// An operator's word on the voters, `name=...` and for a new one `at=...`.
     async fn seat(&self, path: &str, query: &str) -> Response<Full<Bytes>> {
         let Some(duties) = &self.duties else { return say(StatusCode::NOT_FOUND, NO_DUTIES) };
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod disk;
 pub mod duties;
 pub mod emulated;
+pub mod lists;
 pub mod load;
 pub mod measure;
 pub mod plan;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -48,6 +48,15 @@
         #[arg(long, default_value_t = 20)]
         plays: u64,
     },
+    /// Measures duties in emulated time: how long nobody holds one, and what lists cost.
+    Duties {
+        /// Nodes of a zone.
+        #[arg(long, num_args = 1.., default_values_t = [10, 100, 1000])]
+        nodes: Vec<usize>,
+        /// Plays of each.
+        #[arg(long, default_value_t = 200)]
+        plays: u64,
+    },
     /// Measures the talk of real processes, idle and with nothing else to do.
     Idle {
         /// The program.
@@ -69,6 +78,14 @@
             nodes.iter().for_each(|n| println!("{}", measure::emulated(*n, plays)));
             Ok(())
         }
+        Command::Duties { nodes, plays } => {
+            measure::vacancies(plays).iter().for_each(|line| println!("{line}"));
+            for n in nodes {
+                let plays = (plays * 10 / n as u64).clamp(1, 20);
+                measure::zone_lists(n, plays).iter().for_each(|line| println!("{line}"));
+            }
+            Ok(())
+        }
         Command::Play { plan, node, times, paired, views } => {
             runtime(plays(plan, node, times, paired, views))
         }
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -1,6 +1,9 @@
 //! Measures the view: how long it takes to settle and what it costs.
 
+use crate::duties;
 use crate::emulated::{name, Spec, World};
+use crate::lists;
+use crate::relay::Rule;
 use crate::yard::{self, Yard};
 use fleet::{Note, Status};
 use hdrhistogram::Histogram;
@@ -149,3 +152,88 @@
     }
     Ok(figures)
 }
+
+/// How long nobody holds a duty, for each way in which its holder goes, and what holding costs: in emulated time, with the
+/// times that a node has by default.
+pub fn vacancies(plays: u64) -> Vec<String> {
+    let mut ways = Vec::new();
+    for way in ["handed on", "killed", "cut off", "killed with the leader"] {
+        let mut spans = Histogram::<u64>::new(3).expect("three digits are allowed");
+        for seed in 0..plays {
+            let spec = duties::Spec { timing: ::duties::Timing::default(), ..duties::Spec::new(seed) };
+            let mut world = duties::World::started(spec);
+            world.until_held(Duration::from_secs(60)).expect("somebody holds it");
+            world.run(Duration::from_millis(10_000 + seed * 317 % 5000));
+            let (holder, token) = world.holder().expect("it is held");
+            let start = world.now();
+            match way {
+                "handed on" => world.seek(holder, false),
+                "killed" => world.kill(holder),
+                "cut off" => (0..3).for_each(|v| {
+                    let cut = Rule { cut: true, ..Rule::default() };
+                    world.rule(holder, v, cut);
+                    world.rule(v, holder, cut);
+                }),
+                _ => {
+                    world.kill(holder);
+                    world.kill(world.leader().expect("one leads"));
+                }
+            }
+            while world.holder().is_none_or(|(_, t)| t == token) {
+                world.run(Duration::from_millis(2));
+            }
+            spans.record(ms(world.now() - start)).map_err(|e| e.to_string()).expect(NO_BOUND);
+        }
+        let span = |v: u64| v as f64 / 1e3;
+        ways.push(format!(
+            "{way}: {:.2} / {:.2} s until the next one may act (median / worst of {plays})",
+            span(spans.value_at_quantile(0.5)),
+            span(spans.max())
+        ));
+    }
+    let spec = duties::Spec { timing: ::duties::Timing::default(), ..duties::Spec::new(1) };
+    let mut world = duties::World::started(spec);
+    world.run(Duration::from_secs(30));
+    let writes = |w: &duties::World| (0..3).map(|i| w.figures(i).writes).sum::<u64>();
+    let (words, before) = (world.words, writes(&world));
+    world.run(Duration::from_secs(100));
+    ways.push(format!(
+        "calm, one duty, 3 voters, 2 that ask: {:.1} words a second in all, {:.2} writes",
+        (world.words - words) as f64 / 100.0,
+        (writes(&world) - before) as f64 / 100.0
+    ));
+    ways
+}
+
+/// Calls for lists and how long a change takes to the last node, for each size of a zone.
+pub fn zone_lists(nodes: usize, plays: u64) -> Vec<String> {
+    let mut told = Vec::new();
+    for (shared, killed, loss) in
+        [(false, false, 0.0), (true, false, 0.0), (true, false, 0.1), (true, true, 0.0)]
+    {
+        let (mut calls, mut words, mut most) = (0, 0, 0.0_f64);
+        let mut spans = Histogram::<u64>::new(3).expect("three digits are allowed");
+        for seed in 0..plays {
+            let outcome = lists::play(nodes, shared, killed, loss, seed);
+            (calls, words) = (calls + outcome.calls, words + outcome.words);
+            most = most.max(outcome.most);
+            for span in outcome.last_ms {
+                spans.record(span).map_err(|e| e.to_string()).expect(NO_BOUND);
+            }
+        }
+        let way = match (shared, killed) {
+            (false, _) => "each for itself".to_string(),
+            (_, true) => "one for all, killed in the middle".to_string(),
+            _ => format!("one for all, {:.0}% lost", loss * 100.0),
+        };
+        told.push(format!(
+            "{nodes} nodes, {way}: {} calls a minute; a change is with the last node after {} / {} ms (median / worst); \
+             {:.1} words a second each, {most:.1} at most",
+            calls / plays,
+            spans.value_at_quantile(0.5),
+            spans.max(),
+            words as f64 / plays as f64 / 57.0 / nodes as f64
+        ));
+    }
+    told
+}
--- a/rig/src/yard.rs
+++ b/rig/src/yard.rs
@@ -59,6 +59,8 @@
     pub lease_ms: u64,
     /// Whether one node of each zone follows discovery for the others.
     pub lists: bool,
+    /// Whether nodes may be restarted one after another.
+    pub roll: bool,
     /// Calls that one node makes for all: name, whom, how often.
     pub errands: Vec<(String, SocketAddr, u64)>,
 }
@@ -233,10 +235,11 @@
             let voters: Vec<String> = (0..d.voters).map(voter).collect();
             let state = if i < d.voters || self.stateful.contains(&i) { "state = \"state\"\n" } else { "" };
             duties = format!(
-                "[duties]\n{state}voters = [{}]\nlease_ms = {}\nelection_ms = 500\nlists = {}\n",
+                "[duties]\n{state}voters = [{}]\nlease_ms = {}\nelection_ms = 500\nlists = {}\nroll = {}\n",
                 voters.join(", "),
                 d.lease_ms,
-                d.lists
+                d.lists,
+                d.roll
             );
             for (name, at, every) in &d.errands {
                 duties += &format!(
@@ -318,6 +321,15 @@
         self.nodes[i].as_mut().expect("this node has a process")
     }
 
+    /// Starts anew whatever node's process has ended by itself, as whoever runs nodes does; which.
+    pub fn restart_ended(&mut self) -> io::Result<Vec<usize>> {
+        let ended = |p: &mut Option<Process>| p.as_mut().is_some_and(|p| p.ended().is_some());
+        let all: Vec<usize> =
+            self.nodes.iter_mut().enumerate().filter_map(|(i, p)| ended(p).then_some(i)).collect();
+        all.iter().try_for_each(|i| self.start_node(*i))?;
+        Ok(all)
+    }
+
     /// Kills a node's process.
     pub fn kill(&mut self, i: usize) {
         self.nodes[i] = None;
