--- a/duties/src/roll.rs
+++ b/duties/src/roll.rs
@@ -127,7 +127,7 @@
     }
 
     /// The next thing to do, if there is one.
-    pub fn next(&mut self) -> Option<Move> {
+    pub fn step(&mut self) -> Option<Move> {
         self.moves.pop_front()
     }
 
@@ -247,10 +247,10 @@
         members: &mut Vec<Member>,
         away: &mut Vec<Member>,
     ) -> Vec<String> {
-        members.extend(away.drain(..));
+        members.append(away);
         roll.look(now, members);
         let mut told = Vec::new();
-        while let Some(next) = roll.next() {
+        while let Some(next) = roll.step() {
             if let Move::Go { name, boot, .. } = next {
                 let at = members.iter().position(|m| m.name == name && m.boot == boot).expect("it is there");
                 let m = members.remove(at);
--- a/node/src/duties.rs
+++ b/node/src/duties.rs
@@ -597,9 +597,10 @@
             self.client.leave(now, roll::DUTY, left);
         }
         // What is left for the next holder is agreed on before anybody is told to go.
-        let ready = !self.client.leaving(roll::DUTY);
-        while ready {
-            let Some((to, word)) = self.roll.word() else { break };
+        if self.client.leaving(roll::DUTY) {
+            return;
+        }
+        while let Some((to, word)) = self.roll.word() {
             // Asked for anew before each act.
             let Some(token) = self.client.may_act(boottime(), roll::DUTY) else { break };
             self.say(to, &Talk::Roll(word(token)));
--- a/node/src/duties/roll.rs
+++ b/node/src/duties/roll.rs
@@ -116,7 +116,7 @@
         let Some(roll) = self.roll.as_mut().filter(|_| may) else { return };
         roll.look(now, &members(peers));
         self.words.clear();
-        while let Some(next) = roll.next() {
+        while let Some(next) = roll.step() {
             match next {
                 Move::Save(progress) => {
                     let (done, total) = (progress.done, progress.total);
--- a/rig/src/lists.rs
+++ b/rig/src/lists.rs
@@ -211,7 +211,8 @@
             }
             Event::Change => {
                 self.version += 1;
-                (self.changed.push(now), self.seen.push(now));
+                self.changed.push(now);
+                self.seen.push(now);
                 for (i, call) in std::mem::take(&mut self.waiting) {
                     let (after, version) = (self.wire(), self.version);
                     self.put(after, Event::Answer { i, call, version });
