--- a/node/src/duties/disk.rs
+++ b/node/src/duties/disk.rs
@@ -6,6 +6,7 @@
 use std::fs::{create_dir_all, File, OpenOptions};
 use std::os::unix::fs::MetadataExt;
 use std::path::Path;
+use std::time::UNIX_EPOCH;
 
 /// The file in the folder.
 const FILE: &str = "duties.redb";
@@ -37,8 +38,9 @@
         Err(redb::DatabaseError::DatabaseAlreadyOpen) => return Err(Why::InUse),
         Err(e) => return Err(bad(&e)),
     };
-    // A copy of the file is another inode: it is no voter.
-    let place = meta.ino() ^ meta.dev().rotate_left(32);
+    // A copy of the file is another inode, made at another time: it is no voter. An inode alone may be given out again.
+    let made = meta.created().ok().and_then(|t| t.duration_since(UNIX_EPOCH).ok()).unwrap_or_default();
+    let place = meta.ino() ^ meta.dev().rotate_left(32) ^ (made.as_nanos() as u64).rotate_left(16);
     match Store::open(backend, fleet, name, fastrand::u64(1..), place) {
         Ok(opened) => Ok(opened),
         Err(BadStore::Disk(e)) if e.contains("already open") => Err(Why::InUse),
