--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::check::{Fault, Truth};
 use crate::load::{play, Load, Report};
 use crate::relay::Rule;
-use crate::yard::{Spec, Yard, NODES_MAX, TENANTS};
+use crate::yard::{Duties, Spec, Yard, NODES_MAX, TENANTS};
 use fleet::Shown;
 use rustix::process::Signal;
 use serde::Deserialize;
@@ -25,6 +25,9 @@
     /// Whether they talk.
     #[serde(default = "yes")]
     pub fleet: bool,
+    /// Whether they have duties, where they talk: three voters, and one node of each zone that follows discovery.
+    #[serde(default)]
+    pub duties: bool,
     /// Workers.
     pub workers: usize,
     /// Jobs a second.
@@ -115,6 +118,9 @@
             what: e.message().trim().replace('\n', " "),
         })?;
         let bad = |at: usize, what: &str| Err(BadPlan { line: line(at), what: what.to_string() });
+        if plan.duties && plan.nodes < 3 {
+            return bad(0, "duties want 3 nodes at least, for the voters");
+        }
         if !(1..=NODES_MAX).contains(&plan.nodes) {
             return bad(0, &format!("nodes: 1 to {NODES_MAX} are allowed"));
         }
@@ -157,8 +163,10 @@
 
 /// Carries a plan out with this program; `say` hears of each step.
 pub async fn carry_out(plan: &Plan, binary: &Path, say: impl Fn(&str)) -> io::Result<Outcome> {
+    let duties = Duties { voters: 3, lease_ms: 2500, lists: true, roll: false, errands: Vec::new() };
     let spec = Spec {
         fleet: plan.fleet,
+        duties: plan.duties.then_some(duties),
         workers: plan.workers,
         quota: plan.quota,
         probe_ms: plan.probe_ms,
