--- a/rig/src/duties.rs
+++ b/rig/src/duties.rs
@@ -4,14 +4,14 @@
 
 use crate::acts::Act;
 use crate::disk::MemDisk;
-use crate::relay::Rule;
+use crate::relay::Rules;
 use duties::{
     Action, Client, Errand, Fence, Figures, Holder, Lost, Note, Seat, Setup, Standing, Store, Timing, Voter,
     Wish, Word,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -91,8 +91,8 @@
     nodes: Vec<Node>,
     queue: BTreeMap<(Duration, u64), Event>,
     order: u64,
-    rules: HashMap<(usize, usize), Rule>,
-    everywhere: Rule,
+    /// What passes between them.
+    pub rules: Rules,
     rng: SmallRng,
     fence: Fence,
     /// All acts, in the order in which they came.
@@ -133,8 +133,7 @@
             nodes,
             queue: BTreeMap::new(),
             order: 0,
-            rules: HashMap::new(),
-            everywhere: Rule::default(),
+            rules: Rules::default(),
             rng,
             fence: Fence::default(),
             acts: Vec::new(),
@@ -268,31 +267,6 @@
         self.nodes[i].disk = disk;
     }
 
-    /// From now on this rule holds from one node to another.
-    pub fn rule(&mut self, from: usize, to: usize, rule: Rule) {
-        self.rules.insert((from, to), rule);
-    }
-
-    /// From now on this rule holds wherever no other does.
-    pub fn everywhere(&mut self, rule: Rule) {
-        self.everywhere = rule;
-    }
-
-    /// Nothing passes between nodes of different parts.
-    pub fn part(&mut self, parts: &[u32]) {
-        for (from, a) in parts.iter().enumerate() {
-            for (to, b) in parts.iter().enumerate().filter(|(to, _)| *to != from) {
-                self.rules.insert((from, to), Rule { cut: a != b, ..self.everywhere });
-            }
-        }
-    }
-
-    /// Everything passes again.
-    pub fn heal(&mut self) {
-        self.rules.clear();
-        self.everywhere = Rule::default();
-    }
-
     /// Lets time pass.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
@@ -487,7 +461,7 @@
     fn send(&mut self, from: usize, to: SocketAddr, word: Word) {
         let Some(to) = (0..self.nodes.len()).find(|i| address(*i) == to) else { return };
         self.words += 1;
-        let rule = *self.rules.get(&(from, to)).unwrap_or(&self.everywhere);
+        let rule = self.rules.between(from, to);
         if rule.cut || self.rng.random_bool(rule.loss) {
             return;
         }
--- a/rig/src/emulated.rs
+++ b/rig/src/emulated.rs
@@ -2,7 +2,7 @@
 //! passes between them goes by the rules that the relays of real processes have, too.
 
 use crate::check::{faults, Fault, Truth};
-use crate::relay::Rule;
+use crate::relay::Rules;
 use fleet::keys::Keys;
 use fleet::{Action, Birth, Config, Figures, Machine, Note, Timing, View};
 use rand::rngs::SmallRng;
@@ -64,8 +64,8 @@
     at: HashMap<SocketAddr, usize>,
     queue: BTreeMap<(Duration, u64), Event>,
     order: u64,
-    rules: HashMap<(usize, usize), Rule>,
-    everywhere: Rule,
+    /// What passes between them.
+    pub rules: Rules,
     rng: SmallRng,
     /// What the nodes noted; who looks at it clears it.
     pub notes: Vec<Noted>,
@@ -107,8 +107,7 @@
             at: (0..spec.nodes).map(|i| (address(i), i)).collect(),
             queue: BTreeMap::new(),
             order: 0,
-            rules: HashMap::new(),
-            everywhere: Rule::default(),
+            rules: Rules::default(),
             rng: SmallRng::seed_from_u64(spec.seed),
             notes: Vec::new(),
             tape: None,
@@ -215,31 +214,6 @@
         result
     }
 
-    /// From now on this rule holds from one node to another.
-    pub fn rule(&mut self, from: usize, to: usize, rule: Rule) {
-        self.rules.insert((from, to), rule);
-    }
-
-    /// From now on this rule holds wherever no other does.
-    pub fn everywhere(&mut self, rule: Rule) {
-        self.everywhere = rule;
-    }
-
-    /// Nothing passes between nodes of different parts.
-    pub fn part(&mut self, parts: &[u32]) {
-        for (from, a) in parts.iter().enumerate() {
-            for (to, b) in parts.iter().enumerate().filter(|(to, _)| *to != from) {
-                self.rules.insert((from, to), Rule { cut: a != b, ..self.everywhere });
-            }
-        }
-    }
-
-    /// Everything passes again.
-    pub fn heal(&mut self) {
-        self.rules.clear();
-        self.everywhere = Rule::default();
-    }
-
     /// Brings bytes to a node, as somebody unknown might.
     pub fn inject(&mut self, to: usize, bytes: &[u8]) {
         self.put(WIRE, Event::Datagram { to, bytes: bytes.to_vec() });
@@ -366,7 +340,7 @@
 
     fn exchange(&mut self, from: usize, boot: u64, to: SocketAddr) {
         let Some(&other) = self.at.get(&to) else { return };
-        let open = |a, b| !self.rules.get(&(a, b)).unwrap_or(&self.everywhere).cut;
+        let open = |a, b| !self.rules.between(a, b).cut;
         let same = self.nodes[from].boot == boot;
         if other == from
             || !same
@@ -419,7 +393,7 @@
         if let Some(tape) = &mut self.tape {
             tape.push((to, bytes.clone()));
         }
-        let rule = *self.rules.get(&(from, to)).unwrap_or(&self.everywhere);
+        let rule = self.rules.between(from, to);
         if rule.cut || self.rng.random_bool(rule.loss) {
             return;
         }
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -171,8 +171,8 @@
                 "killed" => world.kill(holder),
                 "cut off" => (0..3).for_each(|v| {
                     let cut = Rule { cut: true, ..Rule::default() };
-                    world.rule(holder, v, cut);
-                    world.rule(v, holder, cut);
+                    world.rules.rule(holder, v, cut);
+                    world.rules.rule(v, holder, cut);
                 }),
                 _ => {
                     world.kill(holder);
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -38,6 +38,44 @@
     pub jitter_ms: u64,
 }
 
+/// Which rule holds between which two nodes, in emulated time.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    between: HashMap<(usize, usize), Rule>,
+    everywhere: Rule,
+}
+
+impl Rules {
+    /// The rule that holds from one node to another.
+    pub fn between(&self, from: usize, to: usize) -> Rule {
+        *self.between.get(&(from, to)).unwrap_or(&self.everywhere)
+    }
+
+    /// From now on this rule holds from one node to another.
+    pub fn rule(&mut self, from: usize, to: usize, rule: Rule) {
+        self.between.insert((from, to), rule);
+    }
+
+    /// From now on this rule holds wherever no other does.
+    pub fn everywhere(&mut self, rule: Rule) {
+        self.everywhere = rule;
+    }
+
+    /// Nothing passes between nodes of different parts.
+    pub fn part(&mut self, parts: &[u32]) {
+        for (from, a) in parts.iter().enumerate() {
+            for (to, b) in parts.iter().enumerate().filter(|(to, _)| *to != from) {
+                self.between.insert((from, to), Rule { cut: a != b, ..self.everywhere });
+            }
+        }
+    }
+
+    /// Everything passes again.
+    pub fn heal(&mut self) {
+        *self = Rules::default();
+    }
+}
+
 /// What the relays have done.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Passed {
--- a/rig/tests/duties.rs
+++ b/rig/tests/duties.rs
@@ -81,7 +81,7 @@
     for seed in 70..90 {
         let mut world = world(seed);
         let (holder, token) = world.holder().unwrap();
-        world.everywhere(Rule { jitter_ms: 1500, ..Rule::default() });
+        world.rules.everywhere(Rule { jitter_ms: 1500, ..Rule::default() });
         world.run(Duration::from_millis(2000 + seed * 37 % 1000));
         if world.holder() != Some((holder, token)) {
             continue;
@@ -104,7 +104,7 @@
     for seed in 90..110 {
         let mut world = world(seed);
         let (holder, token) = world.holder().unwrap();
-        world.everywhere(Rule { jitter_ms: 2500, ..Rule::default() });
+        world.rules.everywhere(Rule { jitter_ms: 2500, ..Rule::default() });
         world.run(Duration::from_millis(3000 + seed * 53 % 2000));
         world.kill(holder);
         world.start(holder);
@@ -148,15 +148,15 @@
             for voter in 0..3 {
                 let cut = Rule { cut: true, ..Rule::default() };
                 if way != 1 {
-                    world.rule(holder, voter, cut);
+                    world.rules.rule(holder, voter, cut);
                 }
                 if way != 2 {
-                    world.rule(voter, holder, cut);
+                    world.rules.rule(voter, holder, cut);
                 }
             }
             world.run(10 * S);
             assert!(world.holder().is_some_and(|(i, t)| i != holder && t > token));
-            world.heal();
+            world.rules.heal();
             world.run(2 * S);
         }
         right(&world);
@@ -245,11 +245,11 @@
     let mut world = world(31);
     for round in 0..12 {
         for to in 0..2 {
-            world.rule(2, to, Rule { delay_ms: 1000, ..Rule::default() });
+            world.rules.rule(2, to, Rule { delay_ms: 1000, ..Rule::default() });
         }
         world.run(Duration::from_millis(700 + 170 * round));
         world.kill(2);
-        world.heal();
+        world.rules.heal();
         world.start(2);
         world.run(3 * S);
         assert!(matches!(world.standing(2), Some(Standing::Voting | Standing::Leading)), "round {round}");
@@ -260,7 +260,7 @@
 fn the_same_seed_gives_the_same_run() {
     let run = || {
         let mut world = world(32);
-        world.everywhere(Rule { loss: 0.2, jitter_ms: 300, twice: 0.1, ..Rule::default() });
+        world.rules.everywhere(Rule { loss: 0.2, jitter_ms: 300, twice: 0.1, ..Rule::default() });
         world.run(20 * S);
         world.kill(world.leader().unwrap_or(0));
         world.run(20 * S);
@@ -289,7 +289,7 @@
     world.start_with_disk(4);
     let cut = (0..3).find(|i| Some(*i) != world.leader()).unwrap();
     let parts: Vec<u32> = (0..5).map(|i| u32::from(i == cut)).collect();
-    world.part(&parts);
+    world.rules.part(&parts);
     world.run(2 * S);
     for _ in 0..20 {
         world.wish(3, Wish::Add(Seat { name: name(4), address: address(4) }));
@@ -299,7 +299,7 @@
     }
     let seats = world.seats(world.leader().unwrap());
     assert!(seats.len() == 3 && !seats.contains(&name(cut)) && seats.contains(&name(4)), "{seats:?}");
-    world.heal();
+    world.rules.heal();
     world.run(5 * S);
     assert_eq!(world.standing(cut), Some(Standing::Unseated), "it hears that it has no seat");
     held(&mut world);
@@ -332,16 +332,16 @@
             4 | 5 if world.is_there(i) && !world.runs(i) => world.go_on(i),
             6 => {
                 let parts: Vec<u32> = (0..nodes).map(|_| rng.random_range(0..2)).collect();
-                world.part(&parts);
+                world.rules.part(&parts);
             }
-            7 => world.heal(),
+            7 => world.rules.heal(),
             8 => {
                 let to = rng.random_range(0..nodes);
-                world.rule(i, to, Rule { cut: true, ..Rule::default() });
+                world.rules.rule(i, to, Rule { cut: true, ..Rule::default() });
             }
             9 => {
                 let (loss, jitter_ms) = (rng.random::<f64>() * 0.3, rng.random_range(0..1500));
-                world.everywhere(Rule { loss, jitter_ms, twice: 0.1, ..Rule::default() });
+                world.rules.everywhere(Rule { loss, jitter_ms, twice: 0.1, ..Rule::default() });
             }
             10 => {
                 world.seek(i, false);
@@ -353,7 +353,7 @@
         }
         world.run(Duration::from_millis(rng.random_range(0..6000)));
     }
-    world.heal();
+    world.rules.heal();
     for i in 0..nodes {
         if world.is_there(i) {
             world.go_on(i);
--- a/rig/tests/emulated.rs
+++ b/rig/tests/emulated.rs
@@ -65,12 +65,12 @@
 fn halves_hold_each_other_dead_and_find_each_other_again() {
     let mut world = fleet(10, 3);
     let parts: Vec<u32> = (0..10).map(|i| i % 2).collect();
-    world.part(&parts);
+    world.rules.part(&parts);
     let mut truth = world.truth();
     truth.parts.values_mut().enumerate().for_each(|(i, part)| *part = i as u32 % 2);
     world.until(60 * S, &truth).unwrap();
     stays(&mut world, &truth);
-    world.heal();
+    world.rules.heal();
     settled(&mut world, 20 * S);
 }
 
@@ -80,34 +80,34 @@
     let mut world = fleet(9, 4);
     for to in 1..9 {
         let half = to % 2 == 0;
-        world.rule(0, to, Rule { cut: half, ..Rule::default() });
-        world.rule(to, 0, Rule { cut: half, ..Rule::default() });
+        world.rules.rule(0, to, Rule { cut: half, ..Rule::default() });
+        world.rules.rule(to, 0, Rule { cut: half, ..Rule::default() });
     }
     // Others reach it for those that can't: nobody drops it.
     for _ in 0..30 {
         world.run(S);
         assert!((1..9).all(|i| status(&world, i, 0).is_some_and(Status::there)));
     }
-    world.heal();
+    world.rules.heal();
     for to in 1..9 {
-        world.rule(0, to, Rule { cut: true, ..Rule::default() });
+        world.rules.rule(0, to, Rule { cut: true, ..Rule::default() });
     }
     world.run(30 * S);
-    world.heal();
+    world.rules.heal();
     settled(&mut world, 20 * S);
 }
 
 #[test]
 fn a_fifth_of_all_datagrams_lost_for_a_minute_holds_nobody_dead_for_good() {
     let mut world = fleet(10, 5);
-    world.everywhere(Rule { loss: 0.2, twice: 0.1, jitter_ms: 50, ..Rule::default() });
+    world.rules.everywhere(Rule { loss: 0.2, twice: 0.1, jitter_ms: 50, ..Rule::default() });
     world.run(60 * S);
     let deaths = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Down(_))).count();
     assert!(deaths <= 9, "{deaths} times somebody was held dead: more than one wrong death, told to all");
     // Guards those that refuted a suspicion against being told that they are dead all the same.
     let returns = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Returned(_))).count();
     assert!(returns <= deaths, "{returns} came back, of {deaths} told deaths");
-    world.heal();
+    world.rules.heal();
     settled(&mut world, 20 * S);
 }
 
@@ -133,11 +133,11 @@
     // Whether it goes on before the others hold it dead, and would have to be wrong, depends on who probed when.
     for seed in 100..130 {
         let mut world = fleet(4, seed);
-        world.part(&[0, 0, 0, 1]);
+        world.rules.part(&[0, 0, 0, 1]);
         while !suspects(&world, 3) {
             world.run(S / 20);
         }
-        world.heal();
+        world.rules.heal();
         world.stop(3);
         world.run(S * 81 / 20);
         world.notes.clear();
@@ -160,10 +160,10 @@
     world.kill(0);
     settled(&mut world, 40 * S);
     let parts: Vec<u32> = (0..9).map(|i| i % 2).collect();
-    world.part(&parts);
+    world.rules.part(&parts);
     world.run(40 * S);
     assert_eq!(status(&world, 1, 2), Some(Status::Dead));
-    world.heal();
+    world.rules.heal();
     settled(&mut world, 40 * S);
 }
 
@@ -285,7 +285,7 @@
     world.until(10 * S, &truth).unwrap();
     let refused = |world: &World| (0..6).map(|i| world.figures(i).refused.seal).sum::<u64>();
     assert!(refused(&world) > 0, "what the one with the wrong key sends");
-    world.everywhere(Rule { mutated: 0.1, ..Rule::default() });
+    world.rules.everywhere(Rule { mutated: 0.1, ..Rule::default() });
     let mut rng = SmallRng::seed_from_u64(11);
     for _ in 0..200 {
         let length = rng.random_range(0..2000);
@@ -352,16 +352,22 @@
             4 if !world.runs(i) && world.is_there(i) => world.go_on(i),
             5 => {
                 let parts: Vec<u32> = (0..n).map(|_| rng.random_range(0..3)).collect();
-                world.part(&parts);
+                world.rules.part(&parts);
             }
-            6 => world.heal(),
+            6 => world.rules.heal(),
             7 => {
                 let to = rng.random_range(0..n);
-                world.rule(i, to, Rule { cut: true, ..Rule::default() });
+                world.rules.rule(i, to, Rule { cut: true, ..Rule::default() });
             }
             8 => {
                 let (loss, jitter_ms) = (rng.random::<f64>() * 0.4, rng.random_range(0..200));
-                world.everywhere(Rule { loss, jitter_ms, twice: 0.1, mutated: 0.01, ..Rule::default() });
+                world.rules.everywhere(Rule {
+                    loss,
+                    jitter_ms,
+                    twice: 0.1,
+                    mutated: 0.01,
+                    ..Rule::default()
+                });
             }
             _ => {}
         }
@@ -381,7 +387,7 @@
             }
         }
     }
-    world.heal();
+    world.rules.heal();
     (0..n)
         .filter(|i| world.is_there(*i) && !world.runs(*i))
         .collect::<Vec<_>>()
