Know names as the settings wrote them; end only after the last answer

Change: names come from the settings' own JSON; fields are read as UTF-8, the class in a path may be percent-encoded; the end waits for the last answer, bounded by the longest deadline and 1 s. With each mend out its test fails: 400 'the class is unknown'; 'ended with a request taken'.

--- a/node/src/names.rs
+++ b/node/src/names.rs
@@ -53,11 +53,17 @@
     flatten("", value, &mut text);
     let pairs = Pairs::new(&text);
     let (settings, fields) = settings::read(&pairs)?;
-    let list = |key: &str| pairs.text(key).split(',').filter(|s| !s.is_empty()).map(String::from).collect();
-    let named =
-        |at: &str, n: usize| (0..n).map(|i| pairs.text(&format!("{at}.{i}.Name")).to_string()).collect();
+    // Names as they were written, not as the flat text has them: they are compared with what comes on wires, and a
+    // space or a comma in one is its own.
+    let list = |key: &str| value.get(key).and_then(Value::as_array).into_iter().flatten().map(name).collect();
+    let named = |at: &str, n: usize| -> Vec<String> {
+        let name =
+            |i: usize| value.get(at).and_then(|items| items.get(i)?.get("Name")).map_or("".into(), name);
+        (0..n).map(name).collect()
+    };
     let keyed = |c: &dewlever::api::ClassSettings| matches!(c.semantics, dewlever::api::Semantics::Keyed(_));
-    let report: Vec<String> = list("Stats.Fields");
+    let report = value.get("Stats").and_then(|stats| stats.get("Fields")).and_then(Value::as_array);
+    let report = report.into_iter().flatten().map(name);
     let classes: Vec<String> = named("Profiles", settings.classes.len());
     let tenants: Vec<String> = named("Parties", settings.tenants.len());
     for (i, names) in [&classes, &tenants].into_iter().enumerate() {
@@ -76,7 +82,7 @@
         gone_tenants: Vec::new(),
         zones: list("Azs"),
         kinds: list("HostTypes"),
-        report: report.into_iter().zip(fields).collect(),
+        report: report.zip(fields).collect(),
         connect_timeout: Duration::from_micros(pairs.span("Limits.ConnectTimeoutUs", 1_000_000)?),
         conn_idle: Duration::from_micros(pairs.span("Limits.ConnIdleUs", 60_000_000)?),
         longest: Duration::from_micros(settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0)),
@@ -104,6 +110,10 @@
     }
 }
 
+fn name(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), String::from)
+}
+
 fn plain(value: &Value) -> String {
     match value {
         Value::String(s) => s.replace([' ', ',', '\n'], "_"),
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -5,13 +5,15 @@
 use bytes::Bytes;
 use dewlever::api::{LoadReport, Request};
 use hyper::header::HeaderMap;
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 
-/// The first part of a path, which names the class.
-pub fn class_in(path: &str) -> &str {
-    path.trim_start_matches('/').split('/').next().unwrap_or("")
+/// The first part of a path, which names the class; what a path can't hold comes in it as `%` and two digits.
+pub fn class_in(path: &str) -> Cow<'_, str> {
+    let part = path.trim_start_matches('/').split('/').next().unwrap_or("");
+    percent_decode_str(part).decode_utf8().unwrap_or(Cow::Borrowed(part))
 }
 
 /// Why a request is answered 400.
@@ -19,12 +21,16 @@
 
 /// What the decisions need of a request. Its number is the core's to give.
 pub fn request(headers: &HeaderMap, path: &str, query: &str, names: &Names) -> Result<Request, Bad> {
-    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim).unwrap_or("");
+    // As UTF-8: the names in the settings may hold more than ASCII.
+    let text = |name: &str| {
+        let value = headers.get(name).and_then(|v| std::str::from_utf8(v.as_bytes()).ok());
+        value.map(str::trim).unwrap_or("")
+    };
     let id = text("x-request-id");
     if id.is_empty() || id.len() > 256 || headers.get_all("x-request-id").iter().count() > 1 {
         return Err("X-Request-Id is missing or malformed");
     }
-    let class = names.class(class_in(path)).ok_or("the class is unknown")?;
+    let class = names.class(&class_in(path)).ok_or("the class is unknown")?;
     let stated = text("x-class");
     if !stated.is_empty() && stated != names.classes[class] {
         return Err("X-Class is unknown or differs from the path");
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -44,6 +44,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// For which a process that has handed over stays at least, to serve again should the new one fail.
 const LINGER: Duration = Duration::from_secs(5);
+/// For which a node that was told to stop waits beyond the last deadline, for answers to reach their clients.
+const LAST_WAIT: Duration = Duration::from_secs(1);
 /// Advice to clients over the budget.
 const SOON: Duration = Duration::from_millis(500);
 
@@ -112,10 +114,10 @@
             }
         }
         drop(listener);
-        // By then all deadlines have passed. SIGKILL may come before: no sooner than 3.7 s after SIGTERM.
+        // By then all deadlines have passed and their answers had time to go out. Guards a request that came just
+        // before the close: one process may end before SIGKILL only with nothing taken.
         let longest = server.names.borrow().longest;
-        let end = Instant::now() + longest.saturating_sub(Duration::from_millis(40));
-        if timeout_at(end, server.stock.no_client()).await.is_err() {
+        if timeout(longest + LAST_WAIT, server.stock.no_client()).await.is_err() {
             log::warn!("some connections stayed open to the end");
         }
     }
@@ -264,7 +266,7 @@
         let known = |class: &str| names.class(class).is_some();
         let stated = head.headers.get("x-class").map_or(b"".as_slice(), |v| v.as_bytes());
         let strange = std::str::from_utf8(stated).map_or(true, |c| !c.is_empty() && !known(c));
-        if !known(fields::class_in(path)) && !strange {
+        if !known(&fields::class_in(path)) && !strange {
             return Err((StatusCode::NOT_FOUND, "there is no such path"));
         }
         if head.method != Method::POST {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -312,13 +312,29 @@
         sockets: usize,
         memory_mb: usize,
         found: Option<(TcpListener, Before)>,
+    ) -> Platform {
+        Platform::all(settings(true, 60_000_000), place, known, sockets, memory_mb, found).await
+    }
+
+    /// With other settings.
+    pub async fn under(settings: Value, known: Vec<Value>) -> Platform {
+        Platform::all(settings, None, known, 1024, 192, None).await
+    }
+
+    async fn all(
+        settings: Value,
+        place: Option<PathBuf>,
+        known: Vec<Value>,
+        sockets: usize,
+        memory_mb: usize,
+        found: Option<(TcpListener, Before)>,
     ) -> Platform {
         let _time = still();
         let (agent, at, calls) = Agent::start().await;
         let config = json!({
             "name": "n1", "listen": "127.0.0.1:0", "discovery": at.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
-            "known": {"revision": 1, "complete": true, "members": known}, "settings": settings(true, 60_000_000),
+            "known": {"revision": 1, "complete": true, "members": known}, "settings": settings,
         });
         let config = config::parse(&config.to_string(), |_| None).unwrap();
         let (listener, before) = match found {
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -6,11 +6,12 @@
 use common::{checker, holds, request, stop, stopping, Client, Platform, Seen, Worker};
 use dewlever::api::Outcome;
 use molevale::names::read_settings;
+use molevale::phase::Phase;
 use molevale::retune::Tuning;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
 use std::time::Duration;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{advance, Instant};
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -379,6 +380,79 @@
     assert_eq!(node.served.await.unwrap(), Ok(()));
 }
 
+/// Guards a request of a class with a short wait that came just before the close: the node ends once it is answered,
+/// and not at a moment of its own, for SIGKILL may come later than that and the request counts as taken.
+#[tokio::test(start_paused = true)]
+async fn a_node_does_not_end_before_the_last_answer_however_short_the_waits() {
+    let worker = Worker::start().await;
+    let mut short = common::settings(true, 800_000);
+    for class in short["Profiles"].as_array_mut().unwrap() {
+        class["DeadlineUs"] = 800_000.into();
+    }
+    let mut node = Platform::under(short, vec![worker.line("s-1", "in_service")]).await;
+    let mut client = Client::connect(&node).await;
+    stopping(&node.phases).await;
+    advance(Duration::from_millis(670)).await; // so early that its own wait is not cut for the end
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 0.8, "")).await;
+    let mut seen = worker.take().await;
+    seen.begin().await;
+    while node.counters.word.get() < 1 {
+        tokio::task::yield_now().await;
+    }
+    advance(Duration::from_millis(30)).await;
+    node.phases.follow().wait_for(|p| *p == Phase::Closing).await.unwrap();
+    while TcpStream::connect(node.address).await.is_ok() {
+        tokio::task::yield_now().await; // until the listener is closed: from there on it waits for the last answer
+    }
+    advance(Duration::from_millis(765)).await; // up to 5 ms before the end of its wait
+    seen.say(json!({"state": "done", "result": "r"})).await;
+    let got = tokio::select! {
+        biased;
+        got = client.answer() => got,
+        ended = &mut node.served => panic!("ended with a request taken: {ended:?}"),
+    };
+    assert_eq!(got.expect("an answer").body, "r");
+    assert_eq!(node.served.await.unwrap(), Ok(()));
+}
+
+/// Guards names that hold what the flat form of settings parts by, or more than ASCII: they are compared as the
+/// settings wrote them.
+#[tokio::test(start_paused = true)]
+async fn names_are_what_the_settings_wrote() {
+    let worker = Worker::start().await;
+    let mut named = common::settings(true, 60_000_000);
+    named["Profiles"][0]["Name"] = "quick, \"look\"".into();
+    named["Profiles"][1]["Name"] = "größe".into();
+    named["Parties"][0]["Name"] = "soil & water, süd".into();
+    named["Azs"] = json!(["east wing"]);
+    let mut line = worker.line("s-1", "in_service");
+    line["locality"] = "east wing".into();
+    let node = Platform::under(named, vec![line]).await;
+    for (n, (class, path)) in
+        [("quick, \"look\"", "quick,%20\"look%22"), ("größe", "größe"), ("größe", "gr%C3%B6%c3%9fe")]
+            .into_iter()
+            .enumerate()
+    {
+        let text =
+            request("lodge", &format!("9b1f03aa5c7e2d4{n}"), 60.0, "").replace("sava", "soil & water, süd");
+        let text = text.replace("POST /lodge", &format!("POST /{path}"));
+        let mut client = Client::connect(&node).await;
+        client.tell(&text.replace("X-Class: lodge", &format!("X-Class: {class}"))).await;
+        let mut seen = tokio::select! {
+            seen = worker.take() => seen,
+            got = client.answer() => panic!("{got:?}"),
+        };
+        assert!(
+            seen.head.starts_with(&format!("POST /{path}?user=00ff&x=a%20b HTTP/1.1\r\n")),
+            "{}",
+            seen.head
+        );
+        seen.begin().await;
+        seen.say(json!({"state": "done", "result": "r"})).await;
+        assert_eq!(client.answer().await.unwrap().status, 200);
+    }
+}
+
 /// Guards clients of a node that drains: idle connections close, what runs and what still comes is served and
 /// its connection closed then; and the node comes back whole.
 #[tokio::test(start_paused = true)]
