Watch pushed lists closely; take no drain back; write nothing after a drain's time

An answer with an older version (watch at 7, answer 6) made a draining worker ready again. A connection that came up after a drain's time was written to where no attempt may be called off (else the module has called it off by then: 250 ms without word). Change: waits and first pauses go by Discovery = push or ask; after silence short watches until one is answered (pushed only, for an overbooked service would get more calls); an older answer has the whole list asked for; the pool knows since when a worker leaves, and Invariants.DrainGraceUs. Tests in node/tests/lists.rs; each fails with its mend out (the first by hanging).

--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -76,6 +76,11 @@
         matches!(self.phase, Phase::Terminated)
     }
 
+    /// Whether it says that the worker wants jobs.
+    pub fn is_ready(&self) -> bool {
+        matches!(self.phase, Phase::InService)
+    }
+
     /// The line as the module takes it.
     pub fn entry(&self, names: &Names) -> WorkerEntry {
         let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|i| i as u8);
--- a/node/src/names.rs
+++ b/node/src/names.rs
@@ -31,6 +31,8 @@
     pub connect_timeout: Duration,
     /// The time after which workers close idle connections.
     pub conn_idle: Duration,
+    /// The time after which nothing new may go to a worker that is told to drain.
+    pub drain_grace: Duration,
     /// The longest deadline of a class, also of those that are offered no more.
     pub longest: Duration,
 }
@@ -85,6 +87,7 @@
         report: report.zip(fields).collect(),
         connect_timeout: Duration::from_micros(pairs.span("Limits.ConnectTimeoutUs", 1_000_000)?),
         conn_idle: Duration::from_micros(pairs.span("Limits.ConnIdleUs", 60_000_000)?),
+        drain_grace: Duration::from_micros(pairs.span("Invariants.DrainGraceUs", 500_000)?),
         longest: Duration::from_micros(settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0)),
     };
     Ok((settings, names))
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -23,13 +23,19 @@
 
 /// A list of some thousand workers.
 const BODY_MAX: usize = 4 << 20;
-/// For which a watch waits; a change unheard counts as told 2 s after that. A watch that ends while discovery is
-/// overbooked is one more call that it has to answer: the more nodes there are, the longer.
+/// For which a watch waits where discovery is one service for all nodes; a change unheard counts as told 2 s after that. A
+/// watch that ends while it is overbooked is one more call that it has to answer: the more nodes there are, the longer.
 const WAIT: Duration = Duration::from_secs(5);
 const WAIT_EACH: Duration = Duration::from_millis(200);
 const WAIT_MAX: Duration = Duration::from_secs(20);
+/// The same where lists are pushed: the agent is this machine's own and answers at no cost, and what it has counts as told
+/// whether or not it was asked. A silent watch is to be seen soon.
+const WAIT_PUSHED: Duration = Duration::from_secs(1);
 /// Beyond the wait, before a silent call is given up and made anew.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// For which a watch waits after one that was met with silence: until the agent is surely there again, no long wait may
+/// hang on a call that it has forgotten.
+const WAIT_SILENT: Duration = Duration::from_millis(100);
 /// Between calls after a failure; within 200 ms the watch goes on.
 const PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after calls that discovery turned away, which says that it is asked too much.
@@ -43,6 +49,8 @@
     pub counters: Arc<Counters>,
     /// How many nodes ask discovery, this one included.
     pub siblings: u32,
+    /// Whether discovery is one service that answers all of them in turn.
+    pub asked: bool,
     /// For random numbers.
     pub seed: u64,
     /// All workers, as told last.
@@ -97,7 +105,7 @@
             self.feed(&ListBody { complete: true, ..known });
         }
         let start = |at: Option<SocketAddr>, version, place: &Place| {
-            let pauses = Pauses::new(self.siblings, self.seed);
+            let pauses = Pauses::new(self.siblings, self.asked, self.seed);
             at.map(|at| Source::start(at, version, place.clone(), pauses, down.clone()))
         };
         let first = *place.borrow_and_update();
@@ -196,16 +204,22 @@
 struct Pauses {
     rng: fastrand::Rng,
     wait: Duration,
+    /// The same after a call that was met with silence.
+    wait_silent: Duration,
     first: Duration,
     next: Duration,
 }
 
 impl Pauses {
-    /// The first pause grows with the nodes that ask, so that all together ask about as often as few do.
-    fn new(siblings: u32, seed: u64) -> Pauses {
-        let first = (PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX);
-        let wait = (WAIT_EACH * siblings).clamp(WAIT, WAIT_MAX);
-        Pauses { rng: fastrand::Rng::with_seed(seed), wait, first, next: first }
+    /// Where all nodes ask one service, the first pause grows with them, so that all together ask about as often as few do.
+    fn new(siblings: u32, asked: bool, seed: u64) -> Pauses {
+        let (first, wait, wait_silent) = if asked {
+            let wait = (WAIT_EACH * siblings).clamp(WAIT, WAIT_MAX);
+            ((PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX), wait, wait)
+        } else {
+            (PAUSE, WAIT_PUSHED, WAIT_SILENT)
+        };
+        Pauses { rng: fastrand::Rng::with_seed(seed), wait, wait_silent, first, next: first }
     }
 
     fn answered(&mut self) {
@@ -228,12 +242,20 @@
     tell: mpsc::Sender<ListBody>,
     down: Arc<AtomicBool>,
 ) {
-    let mut connection: Option<Sender> = None;
+    let (mut connection, mut silent): (Option<Sender>, bool) = (None, false);
     down.store(false, Ordering::Relaxed);
     loop {
-        match call(&mut connection, at, version.map(|version| (version, pauses.wait))).await {
+        let wait = if silent { pauses.wait_silent } else { pauses.wait };
+        match call(&mut connection, at, version.map(|version| (version, wait))).await {
+            // Guards a drain that was told: an older list of the same address takes nothing back. The whole list is asked
+            // for, and counts whatever its version, for discovery may have begun anew.
+            Ok(list) if version.is_some_and(|version| list.revision < version) => {
+                log::warn!("discovery: {at}: version {} after {version:?}", list.revision);
+                version = None;
+                sleep(pauses.refused()).await;
+            }
             Ok(list) => {
-                version = Some(list.revision);
+                (version, silent) = (Some(list.revision), false);
                 pauses.answered();
                 if down.swap(false, Ordering::Relaxed) {
                     log::info!("discovery: {at} reached again");
@@ -260,7 +282,7 @@
                         sleep(pauses.refused()).await;
                     }
                     Trouble::Unreached(_) => {
-                        connection = None;
+                        (connection, silent) = (None, true);
                         sleep(PAUSE).await;
                     }
                 }
@@ -346,14 +368,14 @@
     /// Guards discovery while it is overbooked: together all nodes ask seldom, never in step, and less and less.
     #[test]
     fn pauses_grow_with_the_fleet_and_with_each_refusal() {
-        let fleet = |n: u32| (0..u64::from(n)).map(move |seed| Pauses::new(n, seed));
+        let fleet = |n: u32| (0..u64::from(n)).map(move |seed| Pauses::new(n, true, seed));
         for n in [1, 4, 100, 300] {
             let calls: f64 = fleet(n).map(|mut p| 1.0 / p.refused().as_secs_f64()).sum();
             assert!(calls < 150.0, "{n} nodes ask {calls} times a second");
         }
         let firsts: std::collections::BTreeSet<_> = fleet(100).map(|mut p| p.refused()).collect();
         assert!(firsts.len() > 90, "they are not in step");
-        let mut pauses = Pauses::new(100, 7);
+        let mut pauses = Pauses::new(100, true, 7);
         let mut last = Duration::ZERO;
         for _ in 0..10 {
             last = pauses.refused();
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -200,9 +200,8 @@
         let (held, link) = before.replace().await;
         (other, remains) = (held, Some(link));
     }
-    let (connect, idle) = (first.connect_timeout, first.conn_idle);
-    let siblings = settings.siblings;
-    let stock = Arc::new(Stock::new(handle.clone(), limits, other, connect, idle, counters.clone()));
+    let (siblings, asked) = (settings.siblings, settings.list_asked);
+    let stock = Arc::new(Stock::new(handle.clone(), limits, other, &first, counters.clone()));
     counters.look({
         let stock = Arc::downgrade(&stock);
         move || stock.upgrade().map_or(Holdings::default(), |stock| stock.holdings())
@@ -227,6 +226,7 @@
         names: names.clone(),
         counters: counters.clone(),
         siblings,
+        asked,
         seed,
         latest: stock.latest.clone(),
         shared,
@@ -250,7 +250,7 @@
                     () = moved => {}
                 }
                 let Tuning { settings, names } = tuning.borrow_and_update().clone();
-                pool.times(names.connect_timeout, names.conn_idle);
+                pool.times(&names);
                 let stand = stand.as_mut().map(|s| s.borrow_and_update().clone());
                 // The core first: no request may come with a class that it has not heard of.
                 handle.settings(platform(settings, stand.as_ref()), names.continues.clone());
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -5,6 +5,7 @@
 use super::socket::{Leash, Socket};
 use crate::counters::Counters;
 use crate::list::Member;
+use crate::names::Names;
 use bytes::Bytes;
 use dewlever::api::WorkerId;
 use http_body_util::Full;
@@ -60,9 +61,17 @@
 struct Line {
     address: SocketAddr,
     listed: bool,
+    /// When it was told that it drains or is gone, where it is so now.
+    leaves: Option<Instant>,
     idle: Vec<Connection>,
 }
 
+impl Line {
+    fn told(&mut self, stays: bool) {
+        self.leaves = if stays { None } else { self.leaves.or_else(|| Some(Instant::now())) };
+    }
+}
+
 /// All idle connections, and where workers listen.
 pub struct Pool {
     lines: Mutex<HashMap<WorkerId, Line>>,
@@ -77,30 +86,32 @@
 struct Times {
     connect: Duration,
     keep: Duration,
+    grace: Duration,
+}
+
+impl Times {
+    fn new(names: &Names) -> Times {
+        let (connect, keep) = (names.connect_timeout, names.conn_idle.mul_f64(KEEP));
+        Times { connect, keep, grace: names.drain_grace }
+    }
 }
 
 impl Pool {
     /// A pool with room for this many connections.
-    pub fn new(
-        room: usize,
-        connect_timeout: Duration,
-        idle_limit: Duration,
-        counters: Arc<Counters>,
-    ) -> Pool {
+    pub fn new(room: usize, names: &Names, counters: Arc<Counters>) -> Pool {
         Pool {
             lines: Mutex::default(),
             permits: Arc::new(Semaphore::new(room)),
             room: AtomicUsize::new(room),
             owed: AtomicUsize::new(0),
-            times: Mutex::new(Times { connect: connect_timeout, keep: idle_limit.mul_f64(KEEP) }),
+            times: Mutex::new(Times::new(names)),
             counters,
         }
     }
 
     /// Changes the times that the settings give.
-    pub fn times(&self, connect_timeout: Duration, idle_limit: Duration) {
-        *self.times.lock().unwrap_or_else(PoisonError::into_inner) =
-            Times { connect: connect_timeout, keep: idle_limit.mul_f64(KEEP) };
+    pub fn times(&self, names: &Names) {
+        *self.times.lock().unwrap_or_else(PoisonError::into_inner) = Times::new(names);
     }
 
     fn current(&self) -> Times {
@@ -146,14 +157,23 @@
         }
         for member in members {
             let (worker, address) = member.address();
-            let line = lines.entry(worker).or_insert_with(|| Line { address, listed: true, idle: vec![] });
+            let line = lines.entry(worker).or_insert_with(|| Line {
+                address,
+                listed: true,
+                leaves: None,
+                idle: vec![],
+            });
             line.listed = !member.is_gone();
+            line.told(member.is_ready());
             if line.address != address {
                 line.address = address;
                 line.idle.clear();
             }
         }
-        lines.values_mut().filter(|l| !l.listed).for_each(|l| l.idle.clear());
+        for line in lines.values_mut().filter(|l| !l.listed) {
+            line.told(false);
+            line.idle.clear();
+        }
     }
 
     /// A connection to this worker, idle or new; `None` if none comes up in time.
@@ -173,7 +193,10 @@
             }
             line.address
         };
-        timeout(times.connect, self.open(address)).await.ok()?
+        let connection = timeout(times.connect, self.open(address)).await.ok()??;
+        // Guards a worker that was told to drain while its connection was coming up: what is written now is new to it.
+        let leaves = self.lines().get(&worker).and_then(|l| l.leaves);
+        leaves.is_none_or(|at| at.elapsed() < times.grace).then_some(connection)
     }
 
     async fn open(&self, address: SocketAddr) -> Option<Connection> {
--- a/node/src/platform/stock.rs
+++ b/node/src/platform/stock.rs
@@ -9,9 +9,9 @@
 use crate::counters::{Counters, Holdings};
 use crate::dispatcher::Handle;
 use crate::list::ListBody;
+use crate::names::Names;
 use crate::upgrade::{Held, Holder, Lifted, State};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 use tokio::sync::Semaphore;
 
 /// Descriptors beside those of clients and workers: standard streams, poller, signals, listeners, discovery, a
@@ -70,8 +70,7 @@
         core: Handle<Job>,
         limits: Limits,
         other: Held,
-        connect_timeout: Duration,
-        conn_idle: Duration,
+        names: &Names,
         counters: Arc<Counters>,
     ) -> Stock {
         let given = Shares::new(limits, other);
@@ -80,7 +79,7 @@
             lifted: Arc::default(),
             room: Room::new(given.clients),
             beyond: Arc::new(Semaphore::new(TURNED_AWAY)),
-            pool: Arc::new(Pool::new(given.workers, connect_timeout, conn_idle, counters)),
+            pool: Arc::new(Pool::new(given.workers, names, counters)),
             bodies: Semaphore::new(given.bodies_kib),
             ids: Ids::default(),
             latest: Arc::default(),
@@ -153,6 +152,7 @@
 mod tests {
     use super::*;
     use crate::dispatcher::queue;
+    use std::time::Duration;
     use tokio::time::timeout;
 
     /// Guards the limits while two processes are one node: together they never hold more than one may.
@@ -160,19 +160,13 @@
     async fn what_another_process_holds_is_not_there_until_it_gives_it_up() {
         for (sockets, memory_mb) in [(128, 16), (256, 32), (1024, 192)] {
             let limits = Limits { sockets, memory_mb };
-            let old = Stock::new(
-                queue().0,
-                limits,
-                Held::default(),
-                Duration::ZERO,
-                Duration::ZERO,
-                Arc::default(),
-            );
+            let stock = |held| Stock::new(queue().0, limits, held, &Names::default(), Arc::default());
+            let old = stock(Held::default());
             let all = *old.given.lock().unwrap();
             let mut clients = old.room.at_work_now(all.clients / 4);
             let bodies = old.bodies.try_acquire_many(all.bodies_kib as u32 / 2).unwrap();
             let held = old.held();
-            let new = Stock::new(queue().0, limits, held, Duration::ZERO, Duration::ZERO, Arc::default());
+            let new = stock(held);
             let given = *new.given.lock().unwrap();
             let together = held.descriptors + FIXED + TURNED_AWAY + given.clients + given.workers;
             assert!(together <= sockets || given.clients + given.workers <= FLOOR, "{together} of {sockets}");
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{duplex, AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::JoinHandle;
 
@@ -178,11 +178,16 @@
     /// The first request on a new connection.
     pub async fn take(&self) -> Seen {
         let (socket, _) = self.0.accept().await.unwrap();
-        Seen::read(BufReader::new(socket)).await.expect("a request")
+        Seen::first(socket).await
     }
 }
 
 impl Seen {
+    /// The first request on this connection.
+    pub async fn first(socket: TcpStream) -> Seen {
+        Seen::read(BufReader::new(socket)).await.expect("a request")
+    }
+
     async fn read(mut stream: BufReader<TcpStream>) -> Option<Seen> {
         let head = head(&mut stream).await?;
         let mut body = vec![0; length(&head)];
@@ -222,6 +227,16 @@
     }
 }
 
+/// A worker whose connections come up late: its backlog is full until the stand-in that fills it is taken out, and the
+/// kernel tries again a second later.
+pub async fn late_worker() -> (Worker, TcpStream) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let worker = Worker(socket.listen(0).unwrap());
+    let fills = TcpStream::connect(worker.0.local_addr().unwrap()).await.unwrap();
+    (worker, fills)
+}
+
 /// A stand-in for a client of the platform.
 pub struct Client(BufReader<TcpStream>);
 
@@ -276,6 +291,8 @@
 
 /// In place of a list: discovery has no time for the call.
 const TURNED_AWAY: &str = "busy";
+/// In place of a list: half of one, then the end of the connection.
+const CUT: &str = "cut";
 
 /// A stand-in for discovery: what it is to answer, and the heads of the calls that came.
 struct Agent {
@@ -423,6 +440,11 @@
         self.agent.answers.send(TURNED_AWAY.to_string()).unwrap();
     }
 
+    /// Discovery's next answer ends in its middle.
+    pub fn cut(&self) {
+        self.agent.answers.send(CUT.to_string()).unwrap();
+    }
+
     /// Discovery's next answer, whatever the call.
     pub fn tell(&self, body: impl ToString) {
         self.agent.answers.send(body.to_string()).unwrap();
@@ -479,6 +501,11 @@
                 _ = stream.fill_buf() => break, // closed: nothing comes before an answer
             };
             let Some(body) = body else { return std::future::pending().await };
+            if body == CUT {
+                let half = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"revision\": 9, \"complete\": true, \"mem";
+                let _ = writer.write_all(half.as_bytes()).await;
+                break;
+            }
             let status = if body == TURNED_AWAY { "503 Service Unavailable" } else { "200 OK" };
             let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             if writer.write_all(text.as_bytes()).await.is_err() {
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -4,13 +4,12 @@
 
 mod common;
 
-use common::{request, stop, Client, Platform, Worker};
+use common::{late_worker, request, stop, Client, Platform, Worker};
 use molevale::upgrade::{Before, Found};
 use serde_json::json;
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::yield_now;
 use tokio::time::advance;
 
@@ -169,16 +168,6 @@
     }
 }
 
-/// A worker whose connections come up late: its backlog is full until the stand-in that fills it is taken out, and the
-/// kernel tries again a second later.
-async fn late_worker() -> (Worker, TcpStream) {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let worker = Worker(socket.listen(0).unwrap());
-    let fills = TcpStream::connect(worker.0.local_addr().unwrap()).await.unwrap();
-    (worker, fills)
-}
-
 /// While its worker's connection is still coming up, whether the module may call attempts off or not.
 #[tokio::test(start_paused = true)]
 async fn a_request_whose_connection_comes_up_late_is_not_written_then() {
--- /dev/null
+++ b/node/tests/lists.rs
@@ -0,0 +1,118 @@
+//! Lists and drains at bad moments: a worker told to drain while a connection to it comes up, a watch that falls
+//! silent, discovery that forgets who called, a list older than the one before.
+
+mod common;
+
+use common::{late_worker, request, Client, Platform, Worker};
+use serde_json::json;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::task::yield_now;
+use tokio::time::{advance, Instant};
+
+const ID: &str = "9b1f03aa5c7e2d41";
+
+/// A worker is told to drain while a connection to it comes up: within the settings' time the request may still be
+/// written, after it it goes elsewhere, though the settings give connections far longer.
+#[tokio::test(start_paused = true)]
+async fn what_comes_up_after_a_drains_time_is_not_written() {
+    for (after_ms, grace_us, late) in [(240, 250_000, false), (260, 250_000, true), (400, 500_000, false)] {
+        let ((slow, _fills), other) = (late_worker().await, Worker::start().await);
+        // No calling off: a job without word is called off sooner than these drains end.
+        let mut settings = common::settings(false, 60_000_000);
+        settings["Limits"]["ConnectTimeoutUs"] = 60_000_000.into();
+        settings["Invariants"] = json!({"DrainGraceUs": grace_us});
+        let node = Platform::under(settings, vec![slow.line("s-1", "in_service")]).await;
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("lodge", ID, 60.0, "x")).await;
+        while node.counters.out.get() < 1 {
+            yield_now().await;
+        }
+        node.list(2, vec![slow.line("s-1", "terminating"), other.line("s-2", "in_service")]).await;
+        advance(Duration::from_millis(after_ms)).await;
+        drop(slow.0.accept().await.unwrap()); // there is room now
+        let (mut came, _) = slow.0.accept().await.unwrap();
+        if late {
+            let mut bytes = Vec::new();
+            came.read_to_end(&mut bytes).await.unwrap();
+            assert_eq!(String::from_utf8_lossy(&bytes), "", "{after_ms} ms after the drain was told");
+            let mut seen = other.take().await;
+            assert_eq!(seen.field("x-request-id"), ID);
+            seen.done("r").await;
+        } else {
+            let mut seen = common::Seen::first(came).await;
+            seen.done("r").await;
+        }
+        assert_eq!(client.answer().await.unwrap().body, "r");
+        node.owes_nothing().await;
+        assert_eq!(node.counters.connect_failed.get(), u64::from(late));
+    }
+}
+
+/// A watch that falls silent at once after start is made anew, soon and short, until one is answered; then it
+/// waits as ever. The agent may have forgotten every call made while it was down.
+#[tokio::test(start_paused = true)]
+async fn silence_is_met_with_short_calls_until_one_is_answered() {
+    let worker = Worker::start().await;
+    let mut node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
+    let wait = |head: &str| {
+        let wait = head.split("wait=").nth(1).and_then(|w| w.split(' ').next()?.parse().ok());
+        Duration::from_millis(wait.expect("a watch"))
+    };
+    let mut last = node.call().await;
+    let start = Instant::now();
+    for n in 0..4 {
+        let from = Instant::now();
+        last = node.call().await;
+        assert!(last.contains("index=1&") && wait(&last) <= Duration::from_millis(100), "{n}: {last}");
+        assert!(from.elapsed() <= Duration::from_millis(if n == 0 { 2600 } else { 1700 }), "{n}");
+    }
+    assert!(start.elapsed() < Duration::from_secs(8));
+    // It is back, and tells of a drain.
+    let other = Worker::start().await;
+    node.list(2, vec![worker.line("s-1", "terminating"), other.line("s-2", "in_service")]).await;
+    let next = node.call().await;
+    assert!(next.contains("index=2&") && wait(&next) > wait(&last), "{next}");
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("check", ID, 60.0, "x")).await;
+    other.take().await.done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+}
+
+/// An answer that ends in the middle of a list, and one with an older list: what was told stays told. A whole list that
+/// was asked for counts whatever its version: discovery may have begun anew.
+#[tokio::test(start_paused = true)]
+async fn an_older_list_takes_no_drain_back() {
+    let (old, new) = (Worker::start().await, Worker::start().await);
+    let mut node =
+        Platform::start(vec![old.line("s-1", "in_service"), new.line("s-2", "in_service")], 1024).await;
+    node.call().await;
+    node.list(7, vec![old.line("s-1", "terminating"), new.line("s-2", "in_service")]).await;
+    assert!(node.call().await.contains("index=7&"));
+    node.tell(json!({"revision": 6, "complete": true, "members": [old.line("s-1", "in_service"), new.line("s-2", "in_service")]}));
+    assert!(node.call().await.starts_with("GET /discovery/hosts HTTP/1.1"), "the whole list is asked for");
+    node.cut(); // an answer that ends in the middle
+    assert!(node.call().await.starts_with("GET /discovery/hosts HTTP/1.1"), "once more");
+    for n in 0..3 {
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("check", &format!("9b1f03aa5c7e2d4{n}"), 60.0, "x")).await;
+        let mut seen = tokio::select! {
+            seen = new.take() => seen,
+            _ = old.take() => panic!("a drain was taken back"),
+        };
+        seen.begin().await;
+        seen.say(json!({"state": "done", "result": "r"})).await;
+        assert_eq!(client.answer().await.unwrap().body, "r");
+    }
+    // Indented, and of a discovery that began anew: as a whole list that was asked for it counts.
+    let lists = node.counters.lists.get();
+    let list = json!({"revision": 1, "complete": true, "members": [old.line("s-1", "in_service")]});
+    node.tell(serde_json::to_string_pretty(&list).unwrap());
+    while node.counters.lists.get() == lists {
+        yield_now().await;
+    }
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("check", "9b1f03aa5c7e2d49", 60.0, "x")).await;
+    old.take().await.done("s").await;
+    assert_eq!(client.answer().await.unwrap().body, "s");
+}
