--- a/node/src/platform/room.rs
+++ b/node/src/platform/room.rs
@@ -167,6 +167,13 @@
         self.room.seats().quiet.remove(&self.number);
     }
 
+    /// It has something to do after all: the next one is to make way.
+    pub fn pass_on(&self) {
+        if let Some(asked) = self.room.first() {
+            asked.notify_one();
+        }
+    }
+
     /// Returns once the connection is to make way, and says whether it had an answer.
     pub async fn make_way(&self) -> bool {
         self.asked.notified().await;
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -178,7 +178,7 @@
         let leaves = tokio::select! {
             biased;
             // Before the connection is looked at: it must not take a request in and then go.
-            answered = visit.seat.make_way() => Some(answered),
+            answered = makes_way(&visit) => Some(answered),
             ended = connection.as_mut() => return log_end(ended),
             () = over.notified() => return,
             () = self.sent_away(&visit) => None,
@@ -362,6 +362,18 @@
     adopted: Mutex<Option<Adopted>>,
 }
 
+/// Returns once the connection is to make way, and says whether it had an answer. Guards a request that has just come and
+/// is yet to be read: its client would find the connection closed on it. The next one makes way then.
+async fn makes_way(visit: &Visit) -> bool {
+    loop {
+        let answered = visit.seat.make_way().await;
+        if !visit.client.leash.has_unread() {
+            return answered;
+        }
+        visit.seat.pass_on();
+    }
+}
+
 /// Tells the core when a client goes before its answer: hyper drops the request's future then.
 struct Client<'a> {
     handle: &'a Handle<Job>,
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -78,6 +78,12 @@
         self.0.state().replay.is_empty()
     }
 
+    /// Whether bytes lie there that nobody has read.
+    pub fn has_unread(&self) -> bool {
+        recv(&self.0.stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT)
+            .is_ok_and(|(_, n)| n > 0)
+    }
+
     /// Returns once the other end has closed, half-closed or reset it, also behind bytes that nobody has read. While it
     /// is frozen that is for the process that gets it to see.
     pub async fn ended(&self) {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -185,6 +185,7 @@
 impl Seen {
     /// The first request on this connection.
     pub async fn first(socket: TcpStream) -> Seen {
+        socket.set_nodelay(true).unwrap(); // what is said is there at once
         Seen::read(BufReader::new(socket)).await.expect("a request")
     }
 
@@ -253,6 +254,19 @@
         Client(BufReader::new(TcpStream::connect(node.address).await.unwrap()))
     }
 
+    /// On a connection that was made without giving the node a turn.
+    pub fn of(socket: std::net::TcpStream) -> Client {
+        socket.set_nonblocking(true).unwrap();
+        Client(BufReader::new(TcpStream::from_std(socket).unwrap()))
+    }
+
+    /// With so little room for answers that a long one does not fit.
+    pub async fn narrow(node: &Platform) -> Client {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(1).unwrap(); // the least that the kernel gives
+        Client(BufReader::new(socket.connect(node.address).await.unwrap()))
+    }
+
     /// Sends this, some time after what came before: the module paces what it admits.
     pub async fn tell(&mut self, text: &str) {
         tokio::time::advance(Duration::from_millis(20)).await;
--- /dev/null
+++ b/node/tests/endings.rs
@@ -0,0 +1,312 @@
+//! What is still owed when something ends: answers while the node stops, connections that a late answer is still to come
+//! on, places that are given up, settings that go while their requests are there.
+
+mod common;
+
+use common::{request, stop, stopping, Client, Platform, Seen, Worker};
+use molevale::names::read_settings;
+use molevale::phase::Phase;
+use molevale::retune::Tuning;
+use serde_json::json;
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::advance;
+
+const ID: &str = "9b1f03aa5c7e2d41";
+const NEXT: &str = "9b1f03aa5c7e2d42";
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+async fn one() -> (Worker, Platform, Client) {
+    let worker = Worker::start().await;
+    let node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
+    let client = Client::connect(&node).await;
+    (worker, node, client)
+}
+
+/// Lets time pass until so many attempts were sent: a worker may be in doubt for a while.
+async fn sent(node: &Platform, n: u64) {
+    for _ in 0..200 {
+        for _ in 0..50 {
+            yield_now().await;
+        }
+        if node.counters.sent.get() >= n {
+            return;
+        }
+        advance(Duration::from_millis(20)).await;
+    }
+    panic!("not sent: {}", node.counters);
+}
+
+/// SIGTERM as an answer is half written, its client slow to read: the node ends once it is out, and not before.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_half_written_at_the_end_goes_out_whole() {
+    let worker = Worker::start().await;
+    let node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
+    let mut client = Client::narrow(&node).await;
+    let result = "r".repeat(60_000);
+    client.tell(&request("check", ID, 60.0, "x")).await;
+    worker.take().await.done(&result).await;
+    while node.counters.served.get() < 1 {
+        yield_now().await;
+    }
+    stop(&node.phases).await;
+    assert_eq!(client.answer().await.expect("the whole answer").body, result);
+    node.owes_nothing().await;
+    assert_eq!(node.served.await.unwrap(), Ok(()));
+}
+
+/// SIGTERM again, at each phase of the end, and while the node drains: what was taken is answered, once.
+#[tokio::test(start_paused = true)]
+async fn a_second_word_to_stop_changes_nothing() {
+    for drains in [false, true] {
+        let (worker, node, mut client) = one().await;
+        client.tell(&request("lodge", ID, 60.0, "x")).await;
+        let mut seen = worker.take().await;
+        seen.begin().await;
+        while node.counters.word.get() < 1 {
+            yield_now().await;
+        }
+        if drains {
+            node.phases.drain();
+        }
+        stopping(&node.phases).await;
+        node.phases.stop().await; // returns at once
+        assert_eq!(*node.phases.follow().borrow(), Phase::Stopping);
+        advance(Duration::from_millis(720)).await;
+        node.phases.follow().wait_for(|p| *p == Phase::Closing).await.unwrap();
+        node.phases.stop().await;
+        seen.say(json!({"state": "done", "result": "r"})).await;
+        assert_eq!(client.answer().await.unwrap().body, "r");
+        node.owes_nothing().await;
+        assert_eq!(node.served.await.unwrap(), Ok(()));
+    }
+}
+
+/// After SIGTERM clients go on sending on what stays open, up to SIGKILL: what comes on a connection that has yet to bring
+/// its first request is answered while there is time, with a refusal where there is none.
+#[tokio::test(start_paused = true)]
+async fn each_request_that_comes_after_sigterm_is_answered() {
+    // The longest wait, when the request is whole, and whether it is served.
+    for (longest_ms, at_ms, served) in [
+        (60_000, 705, true),
+        (60_000, 1_500, true),
+        (60_000, 3_150, true),
+        (800, 1_300, true),
+        (800, 1_450, false),
+    ] {
+        let worker = Worker::start().await;
+        let mut settings = common::settings(true, longest_ms * 1000);
+        for class in settings["Profiles"].as_array_mut().unwrap() {
+            class["DeadlineUs"] = (longest_ms * 1000).into();
+        }
+        let node = Platform::under(settings, vec![worker.line("s-1", "in_service")]).await;
+        let text = request("check", ID, longest_ms as f64 / 1e3, "");
+        let (begin, end) = text.split_at(40);
+        stopping(&node.phases).await;
+        advance(Duration::from_millis(700)).await;
+        let mut client = Client::connect(&node).await; // the last moment in which it is taken
+        client.add(begin).await;
+        while node.counters.accepted.get() < 1 {
+            yield_now().await;
+        }
+        let closes = at_ms.min(720);
+        advance(Duration::from_millis(closes - 700)).await;
+        if at_ms > 720 {
+            node.phases.follow().wait_for(|p| *p == Phase::Closing).await.unwrap();
+        }
+        advance(Duration::from_millis(at_ms - closes)).await;
+        client.add(end).await;
+        if served {
+            worker.take().await.done("r").await;
+            assert_eq!(client.answer().await.expect("an answer").body, "r", "{longest_ms} {at_ms}");
+        } else {
+            assert_eq!(client.answer().await.expect("an answer").status, 503, "{longest_ms} {at_ms}");
+        }
+        node.owes_nothing().await;
+        assert_eq!(node.counters.sent.get(), u64::from(served));
+    }
+}
+
+/// A second answer that comes late, when the connection has been given to the next request: it is not taken for that
+/// one's, whose own answer comes in the end.
+#[tokio::test(start_paused = true)]
+async fn a_late_second_answer_is_not_the_next_requests() {
+    let (worker, node, mut client) = one().await;
+    client.tell(&request("check", ID, 60.0, "x")).await;
+    let mut seen = worker.take().await;
+    seen.done("first").await;
+    assert_eq!(client.answer().await.unwrap().body, "first");
+    while node.counters.kept.get() < 1 {
+        yield_now().await;
+    }
+    client.tell(&request("check", NEXT, 60.0, "x")).await;
+    let mut seen: Seen = seen.next().await.expect("the kept connection");
+    seen.begin().await;
+    let line = json!({"id": ID, "from": "s-1", "state": "done", "result": "first again"}).to_string();
+    seen.write(&format!("{:x}\r\n{line}\n\r\n0\r\n\r\n", line.len() + 1)).await;
+    sent(&node, 3).await;
+    let mut again = worker.take().await;
+    assert_eq!(again.field("x-request-id"), NEXT);
+    again.done("second").await;
+    assert_eq!(client.answer().await.unwrap().body, "second");
+    assert!(seen.next().await.is_none(), "closed");
+    node.owes_nothing().await;
+}
+
+/// A job of a class that may not be repeated: out again only where it surely never ran.
+#[tokio::test(start_paused = true)]
+async fn an_unsafe_job_goes_again_only_if_it_never_ran() {
+    for (ends, again) in
+        [("returned", true), ("failed", false), ("lost", false), ("closed", false), ("not run", true)]
+    {
+        let (first, second) = (Worker::start().await, Worker::start().await);
+        let mut settings = common::settings(true, 60_000_000);
+        settings["Profiles"][0]["Semantics"] = "unsafe".into();
+        let node = Platform::under(settings, vec![first.line("s-1", "in_service")]).await;
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("check", ID, 60.0, "x")).await;
+        let mut seen = first.take().await;
+        node.list(2, vec![first.line("s-1", "terminating"), second.line("s-2", "in_service")]).await;
+        match ends {
+            "closed" => drop(seen),
+            "not run" => {
+                seen.write("HTTP/1.1 504 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n").await;
+            }
+            _ => {
+                seen.begin().await;
+                seen.say(json!({"state": ends})).await;
+                seen.write("0\r\n\r\n").await;
+            }
+        }
+        if again {
+            second.take().await.done("r").await;
+            assert_eq!(client.answer().await.unwrap().body, "r", "{ends}");
+        } else {
+            assert_eq!(client.answer().await.unwrap().status, 502, "{ends}");
+        }
+        node.owes_nothing().await;
+        assert_eq!(node.counters.sent.get(), 1 + u64::from(again), "{ends}");
+    }
+}
+
+/// A quiet connection is to make way in the instant its request arrives: it stays and is served, and another goes.
+#[tokio::test(start_paused = true)]
+async fn a_connection_whose_request_has_just_come_makes_no_way() {
+    for served_before in [false, true] {
+        let worker = Worker::start().await;
+        let node = Platform::start(vec![worker.line("s-1", "in_service")], 70).await; // 4 for clients
+        let mut clients = Vec::new();
+        for n in 1..5 {
+            let mut client = Client::connect(&node).await;
+            if served_before {
+                assert_eq!(client.ask(UP).await.status, 200);
+            }
+            while node.counters.accepted.get() < n {
+                yield_now().await;
+            }
+            advance(Duration::from_millis(10)).await;
+            clients.push(client);
+        }
+        advance(Duration::from_millis(300)).await;
+        // In one turn: the newcomer connects, then the one whose turn it is to go writes its request. So the node asks
+        // it to go before it has read a byte of that.
+        let new = std::net::TcpStream::connect(node.address).unwrap();
+        clients[0].add(UP).await;
+        let mut new = Client::of(new);
+        assert_eq!(clients[0].answer().await.expect("not closed on").status, 200);
+        assert_eq!(new.ask(UP).await.status, 200);
+        assert!(clients[1].answer().await.is_none(), "the next one makes way");
+    }
+}
+
+/// Hundreds come at once, with part of a request, all of it, or nothing, and are gone: nothing is left of them.
+#[tokio::test(start_paused = true)]
+async fn a_crowd_that_goes_leaves_nothing_behind() {
+    let worker = Worker::start().await;
+    let node = Platform::start(vec![worker.line("s-1", "terminating")], 1024).await;
+    let mut crowd = Vec::new();
+    for n in 0..300 {
+        let mut client = Client::connect(&node).await;
+        let text = request("check", &format!("{n:016x}"), 60.0, "body");
+        match n % 5 {
+            0 => {}
+            1 => client.add(&text[..30]).await,
+            2 => client.add(&text[..text.len() - 2]).await,
+            3 => client.add(&(text.clone() + &text[..50])).await,
+            _ => client.add(&text).await,
+        }
+        crowd.push(client);
+        yield_now().await;
+    }
+    for (n, client) in crowd.into_iter().enumerate() {
+        if n % 2 == 0 {
+            client.reset();
+        }
+    }
+    for _ in 0..40 {
+        for _ in 0..20 {
+            yield_now().await;
+        }
+        advance(Duration::from_millis(10)).await;
+    }
+    node.owes_nothing().await;
+    assert_eq!(node.counters.holdings().unwrap().clients, 0);
+    assert_eq!(node.counters.sent.get(), 0);
+    assert_eq!(Client::connect(&node).await.ask(UP).await.status, 200);
+}
+
+/// Settings go while requests are there: one that waits, one that is out, one that is to be tried again, each of a class
+/// that is offered no more, and with fewer attempts than it has used. All keep the rules they came in under.
+#[tokio::test(start_paused = true)]
+async fn requests_of_a_dropped_class_keep_their_rules_to_the_end() {
+    for case in ["waits", "out", "again"] {
+        let (first, second) = (Worker::start().await, Worker::start().await);
+        let state = if case == "waits" { "terminating" } else { "in_service" };
+        let node = Platform::start(vec![first.line("s-1", state)], 1024).await;
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("lodge", ID, 60.0, "x")).await;
+        let mut seen = None;
+        if case == "waits" {
+            while node.counters.taken.get() < 1 {
+                yield_now().await;
+            }
+        } else {
+            let mut out = first.take().await;
+            out.begin().await;
+            while node.counters.word.get() < 1 {
+                yield_now().await;
+            }
+            if case == "again" {
+                node.list(2, vec![first.line("s-1", "terminating")]).await;
+                out.say(json!({"state": "failed"})).await;
+                out.write("0\r\n\r\n").await;
+                while node.counters.error.get() < 1 {
+                    yield_now().await;
+                }
+            }
+            seen = Some(out);
+        }
+        let mut newer = common::settings(true, 60_000_000);
+        newer["Profiles"].as_array_mut().unwrap().truncate(1);
+        newer["Limits"]["MaxAttempts"] = 1.into();
+        let (settings, names) = read_settings(&newer).unwrap();
+        node.tuning.send_modify(|running| *running = running.overlaid(&Tuning { settings, names }));
+        let mut late = Client::connect(&node).await;
+        assert_eq!(late.ask(&request("lodge", NEXT, 60.0, "")).await.status, 400, "offered no more");
+        let lists = node.counters.lists.get() + 2;
+        node.list(lists, vec![first.line("s-1", "terminating"), second.line("s-2", "in_service")]).await;
+        match (case, seen) {
+            ("out", Some(mut out)) => {
+                out.say(json!({"state": "done", "result": "r"})).await;
+                out.write("0\r\n\r\n").await;
+            }
+            _ => {
+                sent(&node, if case == "waits" { 1 } else { 2 }).await;
+                let mut again = second.take().await;
+                again.done("r").await;
+            }
+        }
+        assert_eq!(client.answer().await.unwrap().body, "r", "{case}");
+        node.owes_nothing().await;
+    }
+}
