Count the calls of one-second watches; lay a roll's lost jobs at the process that was killed

Seen: duties' test of shared lists failed every time, 12 calls in 6 s against a bound of 6: since pushed lists are watched for 1 s at a time two holders make 12. Its bound is now 10 to 14; a third node that asked would make 18. The roll's test failed once in about seven runs with 4 jobs lost. Ruled out: a job lost to a planned restart. In six runs beside the other test all lost jobs were at the node that is killed in the middle: those it held (30 jobs a second over ten nodes, 0.35 s each) and those that the stand-in front sends there until it looks again 0.2 s later, about two in the mean, over three now and then by chance. The report now says where jobs were missed: none elsewhere, and ten at most there.

--- a/node/tests/duties.rs
+++ b/node/tests/duties.rs
@@ -321,12 +321,13 @@
         }
     };
     until_two_ask(&yard, &all).await;
-    // Calm: a watch of each holder, and nobody else's.
+    // Calm: a watch of each holder, and nobody else's. Lists are pushed here, so a watch waits 1 s: 12 calls, and one for
+    // each holder's edge. A third node that asked would make six more.
     sleep(S).await;
     let before = yard.discovery.calls();
     sleep(6 * S).await;
     let calls = yard.discovery.calls() - before;
-    assert!(calls <= 6, "{calls} calls in 6 s, of 8 nodes");
+    assert!((10..=14).contains(&calls), "{calls} calls in 6 s, of 8 nodes");
 
     // A worker drains under load: 500 ms after the first was told, nobody sends it anything new.
     let load = Load { rate: 40.0, length: 12 * S, seed: 5, tenants: TENANTS.map(String::from).to_vec() };
@@ -417,8 +418,12 @@
     once.dedup();
     assert!(once.len() == 10, "{restarted:?}");
     let report = load.await.unwrap();
-    // A job may be lost with the process that was killed, to nothing else.
-    assert!(report.lost + report.failed <= 3 && report.nowhere == 0, "{report}");
+    // Jobs may be lost with the process that was killed (those that it held, and those that the front sent there until it
+    // saw that: about two), to nothing else.
+    let killed = killed.map(|i| yard.listen(i));
+    let elsewhere: u64 = report.missed.iter().filter(|(at, _)| Some(**at) != killed).map(|(_, n)| n).sum();
+    assert!(elsewhere == 0 && report.nowhere == 0, "{report}; {:?}, killed {killed:?}", report.missed);
+    assert!(report.lost + report.failed <= 10, "{report}");
     assert!(report.worth > 0.9, "{report}");
 }
 
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -100,6 +100,8 @@
     pub failed: u64,
     /// No answer at all by their deadline.
     pub lost: u64,
+    /// Of those that failed or were lost: how many were sent to each node.
+    pub missed: HashMap<SocketAddr, u64>,
     /// No node would take them.
     pub nowhere: u64,
     /// Worth that was served in time, of all that was due.
@@ -147,6 +149,7 @@
         refused: 0,
         failed: 0,
         lost: 0,
+        missed: HashMap::new(),
         nowhere: 0,
         worth: 0.0,
         times: Histogram::new(3).expect("three digits are allowed"),
@@ -185,7 +188,7 @@
                 None => End::Nowhere,
             };
             let mut c = counted.lock().unwrap_or_else(PoisonError::into_inner);
-            c.count(&class, &id, work, due, end);
+            c.count(&class, &id, work, due, node, end);
         });
         while jobs.try_join_next().is_some() {}
     }
@@ -203,7 +206,15 @@
 }
 
 impl Counted {
-    fn count(&mut self, class: &Class, id: &str, work: Duration, due: Instant, end: End) {
+    fn count(
+        &mut self,
+        class: &Class,
+        id: &str,
+        work: Duration,
+        due: Instant,
+        node: Option<SocketAddr>,
+        end: End,
+    ) {
         let r = &mut self.report;
         let took = due.elapsed();
         let worth = class.worth * work.as_secs_f64();
@@ -224,8 +235,10 @@
                 }
             }
             End::Answered(429 | 503) => r.refused += 1,
-            End::Answered(_) => r.failed += 1,
-            End::Lost => r.lost += 1,
+            End::Answered(_) | End::Lost => {
+                *(if end == End::Lost { &mut r.lost } else { &mut r.failed }) += 1;
+                *r.missed.entry(node.expect("it was sent to one")).or_default() += 1;
+            }
             End::Nowhere => r.nowhere += 1,
         }
     }
