Repeat a keyed job only where it surely begins inside its window; trust kept connections less

Ruled out: the group (same zone), a second copy, the client's own retry (another id). At fault: Policy::may_repeat_on went by the time of the decision; a connection may take ConnectTimeoutUs. Now the embedder says by when an attempt begins (lag_us: that time; at the Faktory front the wait for a FETCH) and the module asks whether that lies inside.

A connection is looked at before it is given out, and within 20 ms of its last answer an answer without an id proves nothing.

Tests, each seen to fail with its mend out: endings a_keyed_job (760 ms: sent), property (past the window), endings what_comes_on (hangs: 503 taken), endings a_late_second_answer_without_an_id (unsafe, sent again).

--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -150,6 +150,8 @@
         phase: watch::Receiver<Phase>,
     ) -> Result<Node, String> {
         let (settings, names): (Settings, _) = read_settings(&operator.settings)?;
+        // A job may wait so long for a FETCH of the worker that it was bound to.
+        let settings = Settings { lag_us: OFFER_WAIT.as_micros() as u64, ..settings };
         let (handle, inbox) = queue();
         let span = Duration::from_micros;
         let windows: Vec<_> =
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -24,6 +24,9 @@
 const LINE_MAX: usize = 64 * 1024;
 /// What a worker that turns a job away may say beside, for its connection to be kept.
 const WORDS_MAX: usize = 4096;
+/// A worker's second answer may come some milliseconds behind the first. One without an id, on a connection that was given
+/// out again so soon, may be that.
+const ECHO: Duration = Duration::from_millis(20);
 /// For which a finished answer's end is awaited before its connection is given up.
 const TAIL_WAIT: Duration = Duration::from_millis(250);
 
@@ -126,7 +129,12 @@
         let link = (connection.leash.clone(), connection.meter.clone(), connection.address);
         *parcel.line.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
         let request = parcel.request(connection, until);
+        let soon = connection.kept && connection.idle_since.elapsed() < ECHO;
         match connection.sender.send_request(request).await {
+            // Guards what must not run twice against another job's 'never ran': nothing was surely said of this one.
+            Ok(response) if soon && response.status() != StatusCode::OK => {
+                End { kept: true, ..End::plain(Outcome::Reset) }
+            }
             Ok(response) => self.read(tag, parcel, response).await,
             Err(e) => {
                 log::debug!("attempt {tag:?}: {e}");
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -136,9 +136,11 @@
     pub shared: Option<Shared>,
 }
 
-/// The settings with what this wire adds: a worker answers 200 once it has taken a job; and with what the fleet tells.
-fn platform(settings: Settings, stand: Option<&Stand>) -> Settings {
-    let settings = Settings { tells_taken: true, ..settings };
+/// The settings with what this wire adds: a worker answers 200 once it has taken a job, and its connection may take as long
+/// as the settings allow to come up; and with what the fleet tells.
+fn platform(settings: Settings, names: &Names, stand: Option<&Stand>) -> Settings {
+    let lag_us = names.connect_timeout.as_micros() as u64;
+    let settings = Settings { tells_taken: true, lag_us, ..settings };
     match stand.filter(|s| !s.names.is_empty()) {
         Some(stand) => Settings {
             siblings: stand.siblings,
@@ -216,7 +218,7 @@
         tokio::spawn(peers.follow(handle.clone()));
     }
     let front = Platform { carrier, lifted: stock.lifted.clone(), peers: peers() };
-    let core = Dispatcher::new(platform(settings, None), seed, front, counters.clone());
+    let core = Dispatcher::new(platform(settings, &first, None), seed, front, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inbox));
     tokio::spawn(pool.clone().sweep());
@@ -253,7 +255,7 @@
                 pool.times(&names);
                 let stand = stand.as_mut().map(|s| s.borrow_and_update().clone());
                 // The core first: no request may come with a class that it has not heard of.
-                handle.settings(platform(settings, stand.as_ref()), names.continues.clone());
+                handle.settings(platform(settings, &names, stand.as_ref()), names.continues.clone());
                 if **tell_names.borrow() != names {
                     tell_names.send_replace(Arc::new(names));
                 }
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -39,7 +39,8 @@
     driver: JoinHandle<()>,
     /// Whether it has served before.
     pub kept: bool,
-    idle_since: Instant,
+    /// When its last answer ended.
+    pub idle_since: Instant,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -184,7 +185,9 @@
             let line = lines.get_mut(&worker)?;
             while let Some(connection) = line.idle.pop() {
                 let young = connection.idle_since.elapsed() < times.keep;
-                if young && connection.sender.is_ready() {
+                // Guards the next request against what its worker has just said or done here and nobody has read: a second
+                // answer would be taken for this one's, and a close for a break under it.
+                if young && connection.sender.is_ready() && connection.leash.is_quiet() {
                     if let Ok(mut written) = connection.meter.lock() {
                         *written = Written::default();
                     }
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -78,10 +78,19 @@
         self.0.state().replay.is_empty()
     }
 
+    /// What lies there that nobody has read: bytes, an end, an error; 'would block' where nothing has come.
+    fn peek(&self) -> rustix::io::Result<usize> {
+        recv(&self.0.stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(_, n)| n)
+    }
+
     /// Whether bytes lie there that nobody has read.
     pub fn has_unread(&self) -> bool {
-        recv(&self.0.stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT)
-            .is_ok_and(|(_, n)| n > 0)
+        self.peek().is_ok_and(|n| n > 0)
+    }
+
+    /// Whether nothing has come that nobody has read, not even an end.
+    pub fn is_quiet(&self) -> bool {
+        self.peek() == Err(rustix::io::Errno::WOULDBLOCK)
     }
 
     /// Returns once the other end has closed, half-closed or reset it, also behind bytes that nobody has read. While it
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -50,6 +50,19 @@
     hold
 }
 
+/// Lets all that are ready have one turn; sockets are not looked at for that, as they are for `yield_now`.
+pub async fn turn() {
+    let mut had = false;
+    std::future::poll_fn(|cx| {
+        if std::mem::replace(&mut had, true) {
+            return std::task::Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        std::task::Poll::Pending
+    })
+    .await;
+}
+
 /// Tells a node to stop, and lets the time pass in which it takes what still comes.
 pub async fn stop(phases: &Phases) {
     stopping(phases).await;
@@ -204,6 +217,11 @@
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
 
+    /// Says this in this very moment: nobody else has a turn meanwhile.
+    pub fn now(&self, text: &str) {
+        assert_eq!(self.stream.get_ref().try_write(text.as_bytes()).unwrap(), text.len());
+    }
+
     pub async fn begin(&mut self) {
         self.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
     }
--- a/node/tests/endings.rs
+++ b/node/tests/endings.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use std::time::Duration;
 use tokio::task::yield_now;
-use tokio::time::advance;
+use tokio::time::{advance, Instant};
 
 const ID: &str = "9b1f03aa5c7e2d41";
 const NEXT: &str = "9b1f03aa5c7e2d42";
@@ -153,6 +153,88 @@
     node.owes_nothing().await;
 }
 
+/// In the instant in which a kept connection is given to the next request, its worker says something more on it, or closes:
+/// that is not taken for the next one's answer or break, and the request is written once, elsewhere.
+#[tokio::test(start_paused = true)]
+async fn what_comes_on_a_kept_connection_as_it_is_given_out_is_not_the_next_requests() {
+    const TURNED_AWAY: &str = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    for said in [TURNED_AWAY, "HTTP/1.1 200 OK\r\n", ""] {
+        let mut settings = common::settings(true, 60_000_000);
+        settings["Profiles"][0]["Semantics"] = "unsafe".into();
+        let worker = Worker::start().await;
+        let node = Platform::under(settings, vec![worker.line("s-1", "in_service")]).await;
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("check", ID, 60.0, "x")).await;
+        let mut seen = worker.take().await;
+        seen.done("first").await;
+        assert_eq!(client.answer().await.unwrap().body, "first");
+        while node.counters.kept.get() < 1 {
+            yield_now().await;
+        }
+        // A task of its own has its turn between the server's and the attempt's: the request is on its way to the core then,
+        // and nobody looks at sockets in between.
+        let counters = node.counters.clone();
+        let kept = tokio::spawn(async move {
+            while counters.holdings().unwrap().at_work < 1 {
+                common::turn().await;
+            }
+            assert_eq!(counters.sent.get(), 1, "not sent yet");
+            if said.is_empty() {
+                return None; // drops it
+            }
+            seen.now(said);
+            Some(seen)
+        });
+        client.tell(&request("check", NEXT, 60.0, "x")).await;
+        let mut again = worker.take().await;
+        assert_eq!(again.field("x-request-id"), NEXT);
+        again.done("second").await;
+        assert_eq!(client.answer().await.unwrap().body, "second", "{said:?}");
+        if let Some(kept) = kept.await.unwrap() {
+            assert!(kept.next().await.is_none(), "nothing was written there after {said:?}");
+        }
+        node.owes_nothing().await;
+        assert_eq!((node.counters.sent.get(), node.counters.ok.get()), (2, 2), "{said:?}: {}", node.counters);
+    }
+}
+
+/// A second answer without an id that comes when the next request has been written on its connection: 'never ran' is not
+/// taken for a word on that one. Some time later it is.
+#[tokio::test(start_paused = true)]
+async fn a_late_second_answer_without_an_id_proves_nothing_of_the_next_request() {
+    for (semantics, rests_ms, sent_again) in [("unsafe", 19, false), ("unsafe", 20, true), ("safe", 19, true)]
+    {
+        let mut settings = common::settings(true, 6_000_000);
+        settings["Profiles"][0]["Semantics"] = semantics.into();
+        let worker = Worker::start().await;
+        let node = Platform::under(settings, vec![worker.line("s-1", "in_service")]).await;
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("check", ID, 60.0, "x")).await;
+        let mut seen = worker.take().await;
+        seen.done("first").await;
+        assert_eq!(client.answer().await.unwrap().body, "first");
+        while node.counters.kept.get() < 1 {
+            yield_now().await;
+        }
+        advance(Duration::from_millis(rests_ms)).await;
+        client.add(&request("check", NEXT, 60.0, "x")).await;
+        let mut seen = seen.next().await.expect("the kept connection");
+        assert_eq!(seen.field("x-request-id"), NEXT);
+        seen.write("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n").await;
+        if sent_again {
+            sent(&node, 3).await;
+            let mut again = if rests_ms < 20 { worker.take().await } else { seen.next().await.unwrap() };
+            again.done("second").await;
+            assert_eq!(client.answer().await.unwrap().body, "second", "{semantics}, {rests_ms}");
+        } else {
+            assert_eq!(client.answer().await.unwrap().status, 502, "{semantics}, {rests_ms}");
+            assert!(seen.next().await.is_none(), "what may run there is called off");
+        }
+        node.owes_nothing().await;
+        assert_eq!(node.counters.sent.get(), 2 + u64::from(sent_again), "{semantics}, {rests_ms}");
+    }
+}
+
 /// A job of a class that may not be repeated: out again only where it surely never ran.
 #[tokio::test(start_paused = true)]
 async fn an_unsafe_job_goes_again_only_if_it_never_ran() {
@@ -189,6 +271,41 @@
     }
 }
 
+/// A keyed job whose attempt broke near its window's end: out again only where its connection, which may come up as late as
+/// the settings allow, can't bring it to a worker after the window.
+#[tokio::test(start_paused = true)]
+async fn a_keyed_job_goes_again_only_if_it_surely_begins_inside_its_window() {
+    for (broke_ms, again) in [(740, true), (760, false), (990, false)] {
+        let (first, (slow, _fills)) = (Worker::start().await, common::late_worker().await);
+        let mut settings = common::settings(true, 60_000_000);
+        settings["Profiles"][1]["RepeatWindowUs"] = 1_000_000.into();
+        let node = Platform::under(settings, vec![first.line("s-1", "in_service")]).await;
+        let mut client = Client::connect(&node).await;
+        client.tell(&request("lodge", ID, 5.0, "x")).await;
+        let out = Instant::now();
+        let mut seen = first.take().await;
+        seen.begin().await;
+        seen.say(json!({"state": "started"})).await;
+        node.list(2, vec![first.line("s-1", "terminating"), slow.line("s-2", "in_service")]).await;
+        advance(Duration::from_millis(broke_ms) - out.elapsed()).await;
+        drop(seen);
+        while node.counters.reset.get() < 1 {
+            yield_now().await;
+        }
+        for _ in 0..50 {
+            yield_now().await;
+        }
+        assert_eq!(node.counters.sent.get(), 1 + u64::from(again), "{broke_ms} ms after the first attempt");
+        for _ in 0..55 {
+            advance(Duration::from_millis(100)).await;
+        }
+        // All workers drop repeats of it, so a refusal is harmless also past the window.
+        assert_eq!(client.answer().await.unwrap().status, 503, "{broke_ms}");
+        node.owes_nothing().await;
+        assert_eq!(node.counters.sent.get(), 1 + u64::from(again), "{broke_ms}");
+    }
+}
+
 /// A quiet connection is to make way in the instant its request arrives: it stays and is served, and another goes.
 #[tokio::test(start_paused = true)]
 async fn a_connection_whose_request_has_just_come_makes_no_way() {
--- a/src/api.rs
+++ b/src/api.rs
@@ -160,6 +160,8 @@
     pub over_share_worth: f64,
     /// The least time between two events that can be told apart.
     pub resolution_us: Time,
+    /// The longest time from a decision to send until the attempt begins where the embedder has to wait for a way there.
+    pub lag_us: Time,
     /// The figures of the rules.
     pub rules: Rules,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -454,7 +454,7 @@
         match self.set.classes[job.class].semantics {
             Semantics::Safe => true,
             Semantics::Unsafe => false,
-            Semantics::Keyed(_) if self.now + 2 * self.set.resolution_us >= until => false,
+            Semantics::Keyed(_) if self.now + self.set.lag_us + 2 * self.set.resolution_us >= until => false,
             Semantics::Keyed(Group::All) => true,
             Semantics::Keyed(Group::Zone) => a.zone == b.zone,
             Semantics::Keyed(Group::Cell) => a.cell == b.cell,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -198,6 +198,7 @@
         worst_class_weight: p.number("Goal.WorstClass", 0.0)?,
         over_share_worth: p.number("OverShareWorth", 1.0)?,
         resolution_us: p.span("ResolutionUs", 1000)?.max(1),
+        lag_us: 0, // the embedder's to say
         rules: Rules {
             ask_every_us: p.span("Invariants.AskEveryUs", 10_000_000)?,
             cold_share: p.number("Invariants.ColdShare", 1.0)?,
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -81,6 +81,7 @@
         span_us: 500 * MS + rng.below(3) * S,
     };
     s.rules.allowance = Some(ration).filter(|_| rng.below(2) == 0);
+    s.lag_us = rng.below(2) * rng.below(400) * MS;
     s
 }
 
@@ -158,7 +159,8 @@
                 Semantics::Safe => {}
                 Semantics::Unsafe => panic!("an unsafe job was repeated"),
                 Semantics::Keyed(group) => {
-                    assert!(self.now < first.1 + c.repeat_window_us, "past the repeat window");
+                    let begins = self.now + self.set.lag_us;
+                    assert!(begins < first.1 + c.repeat_window_us, "past the repeat window");
                     assert!(group != Group::Zone || mate.zone == entry.zone);
                     assert!(group != Group::Cell || mate.cell == entry.cell);
                 }
