Leave a job to its worker for a long job's time where it would be too late elsewhere too

At fault: Policy::patience. A job that waits at its worker counted as lost after its class's usual time, 0.2 s there; behind other nodes' jobs at two slots that is no long wait. Its worker then got a trickle, and the job went elsewhere past its due, with the first copy running on, for cancels stop no work there. Now haste is kept for jobs that another worker could still bring in time; else it takes a long job's time. Test: rules too_late_elsewhere; fails without the change (called off at twice its usual time).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -288,8 +288,7 @@
         job.attempt = Attempt { worker: w, sent: ago(sent), started, progressed: now, ..Attempt::default() };
         let worker = &mut self.workers[w];
         (worker.held, worker.used_at) = (worker.held + job.need, now);
-        let wait = self.patience(r.id);
-        self.plan(wait, Due::Check { id: r.id, attempt: 0 });
+        self.plan(self.patience(r.id), Due::Check { id: r.id, attempt: 0 });
     }
 
     fn ahead(&self, class: usize) -> Time {
@@ -554,8 +553,7 @@
         out.push(Action::Send { id: key.2, worker: worker.id });
         self.rng.below(1);
         if self.set.handshake_price > 0.0 && !self.lately.contains(&w) { self.lately.push(w); }
-        let wait = self.patience(key.2);
-        self.plan(wait, Due::Check { id: key.2, attempt });
+        self.plan(self.patience(key.2), Due::Check { id: key.2, attempt });
     }
 
     /// How long a worker may show nothing of this job before it counts as silent.
@@ -564,8 +562,11 @@
         if self.wordless(&job.attempt) { return WORD; }
         if self.set.tells_start && job.attempt.started == 0 {
             // First it counts as waiting there, then, after a usual job's time or once it is late, as lost.
-            let (usual, a) = (self.classes[job.class].usual as Time, &job.attempt);
-            let wait = if self.busy(a.worker) { job.due.saturating_sub(a.sent) } else { usual };
+            // Where that is too late all the same, haste helps nobody: after a long job's time.
+            let (c, a) = (&self.classes[job.class], &job.attempt);
+            let (usual, long) = (c.usual as Time, c.usual.max(c.long) as Time);
+            let wait = if a.sent + usual < job.due { usual } else { long };
+            let wait = if self.busy(a.worker) { job.due.saturating_sub(a.sent) } else { wait };
             return PROMPT.max(usual / 10) + if a.overdue { wait } else { 0 };
         }
         match self.set.progress_us {
@@ -644,8 +645,7 @@
         (job.attempt.taken, job.attempt.progressed) = (true, now);
         let w = job.attempt.worker;
         self.alive(w, false, out);
-        let wait = self.patience(id);
-        self.plan(wait, Due::Check { id, attempt });
+        self.plan(self.patience(id), Due::Check { id, attempt });
     }
 
     fn news(&mut self, id: RequestId, attempt: u32, start: bool, out: &mut Vec<Action>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -145,6 +145,25 @@
     assert!(second.is_none() || second != Some(first));
 }
 
+/// Found on hanoi-wire: jobs wait behind other nodes' at workers with two slots, and are wanted sooner than a second try
+/// could serve them. Each was called off after a usual job's time, and its worker kept from as silent.
+#[test]
+fn a_job_that_is_too_late_elsewhere_too_is_left_to_its_worker_for_a_long_jobs_time() {
+    let short = ClassSettings { aim_us: 100 * MS, stretch: 1.75, ..class(Semantics::Safe) };
+    let mut d = Desk::new(settings(vec![short]), two());
+    for id in 10..30 {
+        sent(&d.accept(id, 0), id).unwrap();
+        d.tell(Event::Started { id, attempt: 0 });
+        d.pass(250 * MS);
+        d.ended(id, 0, Outcome::Ok);
+        d.pass(S);
+    }
+    sent(&d.accept(1, 0), 1).unwrap();
+    let off = |out: Vec<Action>| out.contains(&Action::Cancel { id: 1, attempt: 0 });
+    assert!(!off(d.pass(500 * MS)), "twice its usual time");
+    assert!(off(d.pass(500 * MS)), "no sign of its worker in a long job's time");
+}
+
 /// Guards the weak point that a quickly erring worker empties its count and draws jobs.
 #[test]
 fn a_quickly_erring_worker_draws_no_jobs() {
