Ask workers for their load where the settings allow it

Seen by reading, then in a test: where settings allow probes, load reports tell free slots and workers tell no starts, the module asks before it sends (Policy::ask); the node had no way to ask (dispatcher: 'the module may not probe', an error in the log), the answer never came, and every job waited until it was refused. Now Front::probe carries it out: GET /metrics/load on a connection of the pool, with one outcome each; late, wrong and missing answers are a no, an empty one says that there is no report yet. A front that can't ask says so at once. GET /alive tells nothing that the module asks for, so it is not called. Counters: probes, probed.

--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -139,6 +139,10 @@
     reset,
     /// Attempts called off.
     cancelled,
+    /// Workers asked for their load.
+    probes,
+    /// Those that answered in time.
+    probed,
     /// Connections opened to workers.
     opened,
     /// Connections to workers kept after an answer that ended cleanly.
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -78,6 +78,10 @@
     fn release(&mut self, _worker: WorkerId) {}
     /// Asks for the worker list again.
     fn watch(&mut self) {}
+    /// Asks a worker for its load, where this front can: exactly one [`Handle::probed`] follows then, whatever happens.
+    fn probe(&mut self, _worker: WorkerId) -> bool {
+        false
+    }
     /// Tells another node, by its number, the rates of tenants here.
     fn tell(&mut self, _to: u32, _rates: &[u8]) {}
 }
@@ -95,6 +99,7 @@
     ListFailed,
     Settings(Box<Settings>, Vec<Option<usize>>),
     Peer(u32, Vec<u8>),
+    Probed(WorkerId, bool, Option<LoadReport>),
     Adopt(Request, J, Sent),
     Lift(oneshot::Sender<()>),
     Moved(Tag),
@@ -186,6 +191,11 @@
         self.put(Input::Peer(from, rates));
     }
 
+    /// A worker that was asked for its load has answered, or not in time.
+    pub fn probed(&self, worker: WorkerId, ok: bool, report: Option<LoadReport>) {
+        self.put(Input::Probed(worker, ok, report));
+    }
+
     /// The worker list could not be had.
     pub fn list_failed(&self) {
         self.put(Input::ListFailed);
@@ -352,6 +362,7 @@
             }
             Input::ListFailed => self.tell(Event::ListFailed),
             Input::Peer(from, bytes) => self.tell(Event::PeerMessage { from, bytes }),
+            Input::Probed(worker, ok, report) => self.tell(Event::Probed { worker, ok, report }),
             Input::Adopt(request, job, sent) => self.adopt(request, job, sent),
             Input::Lift(done) => {
                 self.lift();
@@ -504,8 +515,13 @@
             Action::Release { worker } => self.front.release(worker),
             Action::Trace(trace) => say(&trace),
             Action::Tell { to, bytes } => self.front.tell(to, &bytes),
-            // The settings don't offer it; a module that asks all the same gets nothing.
-            Action::Probe { .. } => log::error!("the module may not probe"),
+            Action::Probe { worker } => {
+                self.counters.probes.add();
+                // Guards jobs that wait for the answer: a front that can't ask is no answer.
+                if !self.front.probe(worker) {
+                    self.events.push_back(Event::Probed { worker, ok: false, report: None });
+                }
+            }
         }
     }
 
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -5,6 +5,7 @@
 use super::open::Id;
 use super::pool::{Connection, Pool};
 use super::Job;
+use crate::counters::Counters;
 use crate::dispatcher::{Handle, Tag};
 use crate::names::Names;
 use bytes::{Bytes, BytesMut};
@@ -47,6 +48,7 @@
     pub handle: Handle<Job>,
     pub pool: Arc<Pool>,
     pub names: watch::Receiver<Arc<Names>>,
+    pub counters: Arc<Counters>,
 }
 
 struct End {
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -133,8 +133,24 @@
 
 /// The load report of an answer's `X-Load` header.
 pub fn load_header(headers: &HeaderMap, names: &Names) -> Option<LoadReport> {
-    let text = headers.get("x-load")?.to_str().ok()?;
+    Some(pairs(headers.get("x-load")?.to_str().ok()?, names))
+}
+
+/// The load report that a probe's body is: an object as in a worker's lines, or pairs as in the header. `None` where it
+/// tells nothing that the settings name.
+pub fn load_body(body: &[u8], names: &Names) -> Option<LoadReport> {
+    let told = match serde_json::from_slice::<serde_json::Value>(body) {
+        Ok(object) => {
+            let load = object.get("load").unwrap_or(&object);
+            report(names, |name| load.get(name).and_then(|v| v.as_f64()))
+        }
+        Err(_) => pairs(std::str::from_utf8(body).ok()?, names),
+    };
+    Some(told).filter(|told| *told != LoadReport::default())
+}
+
+fn pairs(text: &str, names: &Names) -> LoadReport {
     let pairs: Vec<(&str, &str)> = text.split(',').filter_map(|p| p.trim().split_once('=')).collect();
     let value = |name: &str| pairs.iter().find(|p| p.0 == name).and_then(|p| p.1.parse().ok());
-    Some(report(names, value))
+    report(names, value)
 }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod moving;
 mod open;
 mod pool;
+mod probe;
 mod room;
 mod server;
 pub mod socket;
@@ -107,6 +108,11 @@
         self.carrier.pool.release(worker);
     }
 
+    fn probe(&mut self, worker: WorkerId) -> bool {
+        tokio::spawn(probe::carry(self.carrier.clone(), worker));
+        true
+    }
+
     fn tell(&mut self, to: u32, rates: &[u8]) {
         if let Some(peers) = &self.peers {
             peers.tell(to, rates);
@@ -209,7 +215,12 @@
         move || stock.upgrade().map_or(Holdings::default(), |stock| stock.holdings())
     });
     let pool = stock.pool.clone();
-    let carrier = Arc::new(Carrier { handle: handle.clone(), pool: pool.clone(), names: names.clone() });
+    let carrier = Arc::new(Carrier {
+        handle: handle.clone(),
+        pool: pool.clone(),
+        names: names.clone(),
+        counters: counters.clone(),
+    });
     let peers = || {
         let names = names.clone();
         fleet.as_ref().map(|f| Peers { fleet: f.clone(), stand: f.stand(), names })
