Carry what nodes tell each other in datagrams where the settings allow it

Now platform::peers takes peer_listen and peers of the configuration: a datagram of a version, who the tenants are, the time, and two bytes for each tenant; it is built up to 256 bytes or not at all. Only known senders count, each only with what is newer than what it said last; a flood is read in part. It is the platform's own way: no sessions and no seal, for its network gives each node an address of its own; the fleet's way is used where an operator's file switches that on. Both end in the same event of the module, and share how the socket is bound beside an older process's. peers_all is not used: the module names whom it tells, so that a large tier costs no more than a small one.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -28,6 +28,9 @@
     #[serde(default)]
     limits: Limits,
     known: Option<ListBody>,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
     settings: Value,
 }
 
@@ -64,6 +67,10 @@
     pub limits: Limits,
     /// The workers as last known.
     pub known: Option<ListBody>,
+    /// Where the platform's other nodes send their datagrams; none come if not set.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where they are reached, by number, and come from.
+    pub peers: Vec<SocketAddr>,
     /// The module's settings, and what the wires need beside them.
     pub tuning: Tuning,
     /// All that it was read from, less what is for starts only.
@@ -78,6 +85,7 @@
             ("listen", self.listen != newer.listen),
             ("management", self.management != newer.management),
             ("limits", self.limits != newer.limits),
+            ("peers", (self.peer_listen, &self.peers) != (newer.peer_listen, &newer.peers)),
         ]
         .into_iter()
         .filter_map(|(name, differs)| differs.then_some(name))
@@ -216,6 +224,9 @@
         text.parse().map(Some).map_err(|_| format!("configuration: {name}={text} is not an address"))
     };
     let address = |name, given| optional(name, given)?.ok_or_else(|| format!("configuration: no {name}"));
+    let place =
+        |text: &String| text.parse().map_err(|_| format!("configuration: peers: {text} is not an address"));
+    let peers = raw.peers.iter().map(place).collect::<Result<_, _>>()?;
     let (settings, names) = read_settings(&raw.settings)?;
     Ok(Config {
         tuning: Tuning { settings, names },
@@ -227,5 +238,7 @@
         seed: u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| crate::dispatcher::number_of(&raw.seed)),
         limits: raw.limits,
         known: raw.known,
+        peer_listen: optional("peer_listen", raw.peer_listen)?,
+        peers,
     })
 }
--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -143,6 +143,10 @@
     probes,
     /// Those that answered in time.
     probed,
+    /// Datagrams sent to other nodes.
+    told,
+    /// Datagrams of theirs that counted.
+    heard,
     /// Connections opened to workers.
     opened,
     /// Connections to workers kept after an answer that ended cleanly.
--- a/node/src/fleet.rs
+++ b/node/src/fleet.rs
@@ -194,7 +194,7 @@
 }
 
 /// Bound so that a new process of this node may bind beside the old one: from then on the new one is heard.
-fn datagrams(at: SocketAddr) -> io::Result<UdpSocket> {
+pub(crate) fn datagrams(at: SocketAddr) -> io::Result<UdpSocket> {
     let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
     let socket = socket_with(family, SocketType::DGRAM, flags, None)?;
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod meter;
 mod moving;
 mod open;
+mod peers;
 mod pool;
 mod probe;
 mod room;
@@ -33,6 +34,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
 use moving::{Adopted, Hold, Line, Moving};
+use peers::Datagrams;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -62,7 +64,7 @@
 struct Platform {
     carrier: Arc<Carrier>,
     lifted: Arc<Mutex<Vec<Lifted>>>,
-    peers: Option<Peers>,
+    peers: Option<Way>,
 }
 
 impl Front for Platform {
@@ -114,8 +116,10 @@
     }
 
     fn tell(&mut self, to: u32, rates: &[u8]) {
-        if let Some(peers) = &self.peers {
-            peers.tell(to, rates);
+        match &self.peers {
+            Some(Way::Fleet(peers)) => peers.tell(to, rates),
+            Some(Way::Datagrams(peers)) => peers.tell(to, rates),
+            None => {}
         }
     }
 }
@@ -159,6 +163,14 @@
     }
 }
 
+/// How what the module tells other nodes gets there.
+enum Way {
+    /// By the fleet's sealed messages, where an operator's file switches them on.
+    Fleet(Peers),
+    /// By the platform's own datagrams, where its settings allow them.
+    Datagrams(Arc<Datagrams>),
+}
+
 /// What other nodes are told, and tell: by name on the wire, by number in the module.
 struct Peers {
     fleet: fleet::Handle,
@@ -228,7 +240,18 @@
     if let Some(peers) = peers() {
         tokio::spawn(peers.follow(handle.clone()));
     }
-    let front = Platform { carrier, lifted: stock.lifted.clone(), peers: peers() };
+    let way = match (peers(), config.peer_listen.filter(|_| settings.peers)) {
+        (Some(peers), _) => Some(Way::Fleet(peers)),
+        (None, Some(at)) => {
+            let bound = Datagrams::bind(at, config.peers, names.clone(), counters.clone());
+            let peers = Arc::new(bound.map_err(|e| format!("cannot listen on {at} (peers): {e}"))?);
+            let (hears, handle) = (peers.clone(), handle.clone());
+            tokio::spawn(async move { hears.follow(handle).await });
+            Some(Way::Datagrams(peers))
+        }
+        (None, None) => None,
+    };
+    let front = Platform { carrier, lifted: stock.lifted.clone(), peers: way };
     let core = Dispatcher::new(platform(settings, &first, None), seed, front, counters.clone());
     let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inbox));
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -377,29 +377,35 @@
         memory_mb: usize,
         found: Option<(TcpListener, Before)>,
     ) -> Platform {
-        Platform::all(settings(true, 60_000_000), place, known, sockets, memory_mb, found).await
+        let told = json!({"settings": settings(true, 60_000_000), "known": known});
+        Platform::all(told, place, sockets, memory_mb, found).await
     }
 
     /// With other settings.
     pub async fn under(settings: Value, known: Vec<Value>) -> Platform {
-        Platform::all(settings, None, known, 1024, 192, None).await
+        Platform::told(json!({"settings": settings, "known": known})).await
+    }
+
+    /// With these parts of a configuration; `known` is the members alone.
+    pub async fn told(parts: Value) -> Platform {
+        Platform::all(parts, None, 1024, 192, None).await
     }
 
     async fn all(
-        settings: Value,
+        parts: Value,
         place: Option<PathBuf>,
-        known: Vec<Value>,
         sockets: usize,
         memory_mb: usize,
         found: Option<(TcpListener, Before)>,
     ) -> Platform {
         let _time = still();
         let (agent, at, calls) = Agent::start().await;
-        let config = json!({
+        let mut config = json!({
             "name": "n1", "listen": "127.0.0.1:0", "discovery": at.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
-            "known": {"revision": 1, "complete": true, "members": known}, "settings": settings,
         });
+        config.as_object_mut().unwrap().extend(parts.as_object().unwrap().clone());
+        config["known"] = json!({"revision": 1, "complete": true, "members": parts["known"]});
         let config = config::parse(&config.to_string(), |_| None).unwrap();
         let (listener, before) = match found {
             Some((listener, before)) => (listener, Some(before)),
--- /dev/null
+++ b/node/tests/peers.rs
@@ -0,0 +1,128 @@
+//! The platform's own messages between nodes, where its settings allow them: datagrams on real sockets, which are lost,
+//! late, doubled, forged, too long or of another version.
+
+mod common;
+
+use common::{request, Client, Platform, Worker};
+use rustix::net::{bind, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
+use serde_json::json;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::advance;
+
+/// Where the node is to bind too: the newer of the two hears.
+fn place() -> UdpSocket {
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = socket_with(AddressFamily::INET, SocketType::DGRAM, flags, None).unwrap();
+    sockopt::set_socket_reuseaddr(&socket, true).unwrap();
+    bind(&socket, &"127.0.0.1:0".parse::<SocketAddr>().unwrap()).unwrap();
+    UdpSocket::from(socket)
+}
+
+/// A node that is the first of two, with a worker; the other one's socket.
+async fn first_of_two(allowed: bool) -> (Platform, UdpSocket, UdpSocket, Worker) {
+    let (own, other, worker) = (place(), place(), Worker::start().await);
+    let mut settings = common::settings(true, 60_000_000);
+    settings["Limits"]["Peers"] = allowed.into();
+    settings["Siblings"] = 2.into();
+    settings["Ordinal"] = 0.into();
+    let at = |s: &UdpSocket| s.local_addr().unwrap().to_string();
+    let node = Platform::told(json!({
+        "settings": settings, "known": [worker.line("s-1", "in_service")],
+        "peer_listen": at(&own), "peers": [at(&own), at(&other)],
+    }));
+    (node.await, own, other, worker)
+}
+
+fn take(socket: &UdpSocket) -> Option<Vec<u8>> {
+    let mut buffer = [0; 2048];
+    let (n, _) = socket.recv_from(&mut buffer).ok()?;
+    Some(buffer[..n].to_vec())
+}
+
+/// Lets time pass until this holds.
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..400 {
+        for _ in 0..50 {
+            if holds() {
+                return;
+            }
+            yield_now().await;
+        }
+        advance(Duration::from_millis(20)).await;
+    }
+    panic!("not so: {what}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_tell_each_other_and_only_what_a_known_one_says_anew_counts() {
+    let (node, own, other, worker) = first_of_two(true).await;
+    let mut told = None;
+    until("it tells", || {
+        told = take(&other);
+        told.is_some()
+    })
+    .await;
+    let told = told.unwrap();
+    assert!(told.len() <= 256 && node.counters.told.get() >= 1);
+    // The form: its version, who the tenants are, when it was sent, two bytes for each tenant.
+    assert_eq!((told[0], told.len()), (1, 9 + 2));
+    let sent_at = |ms: u32| [&told[..5], &ms.to_be_bytes(), &told[9..]].concat();
+    let own = own.local_addr().unwrap();
+    let say = |from: &UdpSocket, bytes: &[u8]| assert_eq!(from.send_to(bytes, own).unwrap(), bytes.len());
+    say(&other, &sent_at(100));
+    until("it counts", || node.counters.heard.get() == 1).await;
+    let other_version = [&[2], &sent_at(103)[1..]].concat();
+    let mut other_tenants = sent_at(104);
+    other_tenants[1] ^= 1;
+    say(&other, &sent_at(100)); // doubled
+    say(&other, &sent_at(99)); // late
+    say(&place(), &sent_at(101)); // of nobody known
+    say(&other, &[]);
+    say(&other, &sent_at(102)[..8]); // cut off
+    say(&other, &other_version);
+    say(&other, &other_tenants);
+    say(&other, &[&sent_at(105)[..], &[0; 246]].concat()); // 257 bytes
+    say(&other, &[0xff; 2000]);
+    say(&other, &sent_at(106));
+    until("the last one counts", || node.counters.heard.get() == 2).await;
+    // And all the while it serves.
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
+    worker.take().await.done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+    node.owes_nothing().await;
+    assert_eq!(node.counters.heard.get(), 2);
+}
+
+/// Nobody there, or more than is read in a second: jobs go on.
+#[tokio::test(start_paused = true)]
+async fn a_flood_and_a_node_that_is_gone_hold_no_job_up() {
+    let (node, own, other, worker) = first_of_two(true).await;
+    let own = own.local_addr().unwrap();
+    for _ in 0..200 {
+        let _ = other.send_to(&[0xff; 100], own);
+    }
+    drop(other);
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
+    worker.take().await.done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+    until("it goes on telling", || node.counters.told.get() >= 3).await;
+    assert_eq!(node.counters.heard.get(), 0);
+    node.owes_nothing().await;
+}
+
+/// Where the settings bar it, nothing is said, and nothing is listened for.
+#[tokio::test(start_paused = true)]
+async fn nodes_are_silent_where_the_settings_bar_talk() {
+    let (node, own, other, _worker) = first_of_two(false).await;
+    for _ in 0..250 {
+        advance(Duration::from_millis(20)).await;
+        yield_now().await;
+    }
+    assert_eq!((take(&other), node.counters.told.get()), (None, 0));
+    other.send_to(b"to whoever is there", own.local_addr().unwrap()).unwrap();
+    assert_eq!(take(&own).unwrap(), b"to whoever is there", "the node has no socket there");
+}
