--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -79,7 +79,11 @@
 }
 
 pub fn operator(aim_us: u64) -> Operator {
-    let settings = settings(false, aim_us);
+    operator_of(settings(false, aim_us))
+}
+
+/// With these settings.
+pub fn operator_of(settings: Value) -> Operator {
     let text = toml::to_string(&json!({"listen": "127.0.0.1:0", "settings": settings})).unwrap();
     Operator::parse(&text).unwrap()
 }
--- a/node/tests/faktory.rs
+++ b/node/tests/faktory.rs
@@ -174,6 +174,28 @@
     assert_eq!((counters.error.get(), counters.ok.get(), counters.served.get()), (1, 1, 1));
 }
 
+/// A job that may have run waits for no FETCH that may come after its key's window.
+#[tokio::test(start_paused = true)]
+async fn a_failed_job_is_offered_again_only_where_it_surely_goes_out_inside_its_window() {
+    for (failed_ms, again) in [(1_700, true), (1_800, false)] {
+        let mut settings = common::settings(false, 6_000_000);
+        settings["Profiles"][1]["RepeatWindowUs"] = 2_000_000.into();
+        let (counters, phases) = (Arc::new(Counters::default()), Phases::default());
+        let node =
+            Node::start(&common::operator_of(settings), 7, None, counters.clone(), phases.follow()).unwrap();
+        let (mut client, mut one) = (Peer::client(&node).await, Peer::worker(&node, "one").await);
+        one.tell("FETCH lodge").await;
+        client.push("lodge", "job-00001", "a").await;
+        assert!(one.reply().await.contains("job-00001"));
+        let mut two = Peer::worker(&node, "two").await;
+        sleep(Duration::from_millis(failed_ms)).await;
+        one.ask("FAIL {\"jid\":\"job-00001\",\"errtype\":\"E\",\"message\":\"m\"}").await;
+        sleep(Duration::from_millis(240)).await; // within which a job that was offered is given to a FETCH
+        assert_eq!(two.fetch().await.is_some(), again, "failed after {failed_ms} ms");
+        assert_eq!(counters.sent.get(), 1 + u64::from(again));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_lease_ends_at_the_deadline_and_the_job_has_its_one_end_state() {
     let (node, counters, _phase) = faktory(None);
