Test discovery that is asked: overbooked, down, back; a last list whose workers are gone

On real sockets, with time that stands still. Turned away, a node asks again after 25 to 50 ms, then twice as long each time, from the version that it knows; cut off in an answer, after 50 ms; met with silence, 1.5 s beyond its wait; what the return tells is in force at once. A job whose only listed worker is gone waits and runs once at the worker that the next list names.

--- /dev/null
+++ b/node/tests/asked.rs
@@ -0,0 +1,83 @@
+//! Discovery that is one service for all nodes and answers when asked: overbooked, down, back; and a node that starts with
+//! nothing but its last list, whose workers are gone.
+
+mod common;
+
+use common::{request, Client, Platform, Worker};
+use serde_json::{json, Value};
+use std::ops::RangeInclusive;
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::{advance, Instant};
+
+const ID: &str = "9b1f03aa5c7e2d41";
+
+fn asked() -> Value {
+    let mut settings = common::settings(true, 60_000_000);
+    settings["Discovery"] = "ask".into();
+    settings
+}
+
+/// The next call, and after how long it came: within this many milliseconds.
+async fn call(node: &mut Platform, within_ms: RangeInclusive<u128>, what: &str) -> String {
+    let start = Instant::now();
+    let head = node.call().await;
+    let after = start.elapsed().as_millis();
+    assert!(within_ms.contains(&after), "{what}: after {after} ms");
+    head
+}
+
+/// Turned away, it asks ever seldomer and from the version that it knows; when the service goes down under a watch, and while
+/// it gives no answer at all, it asks again; and what is told at its return counts at once.
+#[tokio::test(start_paused = true)]
+async fn an_overbooked_service_is_asked_ever_seldomer_and_one_that_was_down_is_heard_again() {
+    let (old, new) = (Worker::start().await, Worker::start().await);
+    let mut node =
+        Platform::told(json!({"settings": asked(), "known": [old.line("s-1", "in_service")]})).await;
+    let watch = "GET /discovery/hosts?index=1&wait=5000 HTTP/1.1";
+    assert!(node.call().await.starts_with(watch), "one watch, from the version that was known");
+    for (within, what) in
+        [(25..=60, "first"), (50..=110, "second"), (100..=210, "third"), (200..=410, "fourth")]
+    {
+        node.turn_away();
+        assert!(call(&mut node, within, what).await.starts_with(watch), "{what}");
+    }
+    // It goes down in the middle of an answer.
+    node.cut();
+    assert!(call(&mut node, 50..=60, "cut").await.starts_with(watch));
+    // It is silent: the watch's own wait and some more, then again, soon.
+    assert!(call(&mut node, 6_500..=6_600, "silent").await.starts_with(watch));
+    node.list(2, vec![old.line("s-1", "terminating"), new.line("s-2", "in_service")]).await;
+    assert!(node.call().await.starts_with("GET /discovery/hosts?index=2&wait=5000"));
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("lodge", ID, 60.0, "x")).await;
+    new.take().await.done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+    node.owes_nothing().await;
+}
+
+/// All that the last list names is gone: a job that never ran there waits for a list that names somebody, and runs once.
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_last_lists_workers_are_gone_serves_once_it_hears_of_others() {
+    let (gone, here) = (Worker::start().await, Worker::start().await);
+    let known = [gone.line("s-1", "in_service")];
+    drop(gone);
+    let node = Platform::told(json!({"settings": asked(), "known": known})).await;
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("lodge", ID, 60.0, "x")).await;
+    for _ in 0..100 {
+        for _ in 0..50 {
+            yield_now().await;
+        }
+        if node.counters.connect_failed.get() > 0 {
+            break;
+        }
+        advance(Duration::from_millis(5)).await;
+    }
+    assert_eq!(node.counters.connect_failed.get(), 1, "tried, and in doubt since");
+    node.list(2, vec![here.line("s-2", "in_service")]).await;
+    here.take().await.done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+    node.owes_nothing().await;
+    assert_eq!((node.counters.sent.get(), node.counters.ok.get()), (2, 1));
+}
