Hold a 'never ran' against nothing but a job's own last answer on its connection

Read over: a probe's connection is kept and given to the job at once, so that within 20 ms of the probe's answer a true 503 of the job's worker counted as a late second answer: an unsafe job failed instead of going elsewhere. The time now runs from the last job's answer (Connection::job_ended), which probes don't set. The new test, probes turned_away, hangs with the old condition.

--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -101,6 +101,7 @@
         let Some(mut connection) = connection else { return };
         let clean = timeout(TAIL_WAIT, ends(rest, most)).await.unwrap_or(false);
         if clean && connection.sender.ready().await.is_ok() {
+            connection.job_ended = Some(Instant::now());
             self.pool.keep(worker, connection);
         }
     }
@@ -131,7 +132,7 @@
         let link = (connection.leash.clone(), connection.meter.clone(), connection.address);
         *parcel.line.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
         let request = parcel.request(connection, until);
-        let soon = connection.kept && connection.idle_since.elapsed() < ECHO;
+        let soon = connection.job_ended.is_some_and(|at| at.elapsed() < ECHO);
         match connection.sender.send_request(request).await {
             // Guards what must not run twice against another job's 'never ran': nothing was surely said of this one.
             Ok(response) if soon && response.status() != StatusCode::OK => {
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -39,8 +39,9 @@
     driver: JoinHandle<()>,
     /// Whether it has served before.
     pub kept: bool,
-    /// When its last answer ended.
-    pub idle_since: Instant,
+    /// When the last job on it had its answer.
+    pub job_ended: Option<Instant>,
+    idle_since: Instant,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -258,6 +259,7 @@
             leash,
             driver,
             kept: false,
+            job_ended: None,
             idle_since: Instant::now(),
             _permit: permit,
         })
--- a/node/src/platform/probe.rs
+++ b/node/src/platform/probe.rs
@@ -25,7 +25,8 @@
     carrier.handle.probed(worker, said.is_some(), said.flatten());
 }
 
-/// The worker's load, if it has one to tell yet; `None` where it says no, or what is none. A connection that is not read to its end is closed.
+/// The worker's load, if it has one to tell yet; `None` where it says no, or what is none. A connection that is not read to its
+/// end is closed.
 async fn ask(carrier: &Carrier, worker: WorkerId) -> Option<Option<LoadReport>> {
     let mut connection = carrier.pool.connect(worker).await?;
     let Connection { sender, address, .. } = &mut connection;
@@ -34,8 +35,7 @@
     let response = sender.send_request(request.ok()?).await.ok()?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, BODY_MAX).collect().await.ok()?.to_bytes();
-    let clean = sender.ready().await.is_ok();
-    if clean {
+    if sender.ready().await.is_ok() {
         carrier.pool.keep(worker, connection);
     }
     if head.status != StatusCode::OK {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -63,6 +63,20 @@
     .await;
 }
 
+/// Lets time pass, this much at once, until something holds.
+pub async fn until(what: &str, step: Duration, mut holds: impl FnMut() -> bool) {
+    for _ in 0..400 {
+        for _ in 0..50 {
+            if holds() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+        tokio::time::advance(step).await;
+    }
+    panic!("not so: {what}");
+}
+
 /// Tells a node to stop, and lets the time pass in which it takes what still comes.
 pub async fn stop(phases: &Phases) {
     stopping(phases).await;
--- a/node/tests/endings.rs
+++ b/node/tests/endings.rs
@@ -23,6 +23,21 @@
     (worker, node, client)
 }
 
+/// A worker that has served a job on a connection which is kept, and that connection.
+async fn kept(settings: serde_json::Value) -> (Worker, Platform, Client, Seen) {
+    let worker = Worker::start().await;
+    let node = Platform::under(settings, vec![worker.line("s-1", "in_service")]).await;
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("check", ID, 60.0, "x")).await;
+    let mut seen = worker.take().await;
+    seen.done("first").await;
+    assert_eq!(client.answer().await.unwrap().body, "first");
+    while node.counters.kept.get() < 1 {
+        yield_now().await;
+    }
+    (worker, node, client, seen)
+}
+
 /// Lets time pass until so many attempts were sent: a worker may be in doubt for a while.
 async fn sent(node: &Platform, n: u64) {
     for _ in 0..200 {
@@ -131,14 +146,7 @@
 /// one's, whose own answer comes in the end.
 #[tokio::test(start_paused = true)]
 async fn a_late_second_answer_is_not_the_next_requests() {
-    let (worker, node, mut client) = one().await;
-    client.tell(&request("check", ID, 60.0, "x")).await;
-    let mut seen = worker.take().await;
-    seen.done("first").await;
-    assert_eq!(client.answer().await.unwrap().body, "first");
-    while node.counters.kept.get() < 1 {
-        yield_now().await;
-    }
+    let (worker, node, mut client, seen) = kept(common::settings(true, 60_000_000)).await;
     client.tell(&request("check", NEXT, 60.0, "x")).await;
     let mut seen: Seen = seen.next().await.expect("the kept connection");
     seen.begin().await;
@@ -161,16 +169,7 @@
     for said in [TURNED_AWAY, "HTTP/1.1 200 OK\r\n", ""] {
         let mut settings = common::settings(true, 60_000_000);
         settings["Profiles"][0]["Semantics"] = "unsafe".into();
-        let worker = Worker::start().await;
-        let node = Platform::under(settings, vec![worker.line("s-1", "in_service")]).await;
-        let mut client = Client::connect(&node).await;
-        client.tell(&request("check", ID, 60.0, "x")).await;
-        let mut seen = worker.take().await;
-        seen.done("first").await;
-        assert_eq!(client.answer().await.unwrap().body, "first");
-        while node.counters.kept.get() < 1 {
-            yield_now().await;
-        }
+        let (worker, node, mut client, seen) = kept(settings).await;
         // A task of its own has its turn between the server's and the attempt's: the request is on its way to the core then,
         // and nobody looks at sockets in between.
         let counters = node.counters.clone();
@@ -206,16 +205,7 @@
     {
         let mut settings = common::settings(true, 6_000_000);
         settings["Profiles"][0]["Semantics"] = semantics.into();
-        let worker = Worker::start().await;
-        let node = Platform::under(settings, vec![worker.line("s-1", "in_service")]).await;
-        let mut client = Client::connect(&node).await;
-        client.tell(&request("check", ID, 60.0, "x")).await;
-        let mut seen = worker.take().await;
-        seen.done("first").await;
-        assert_eq!(client.answer().await.unwrap().body, "first");
-        while node.counters.kept.get() < 1 {
-            yield_now().await;
-        }
+        let (worker, node, mut client, seen) = kept(settings).await;
         advance(Duration::from_millis(rests_ms)).await;
         client.add(&request("check", NEXT, 60.0, "x")).await;
         let mut seen = seen.next().await.expect("the kept connection");
--- a/node/tests/peers.rs
+++ b/node/tests/peers.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{request, Client, Platform, Worker};
+use common::{request, until, Client, Platform, Worker};
 use rustix::net::{bind, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
 use serde_json::json;
 use std::net::{SocketAddr, UdpSocket};
@@ -11,6 +11,8 @@
 use tokio::task::yield_now;
 use tokio::time::advance;
 
+const STEP: Duration = Duration::from_millis(20);
+
 /// Where the node is to bind too: the newer of the two hears.
 fn place() -> UdpSocket {
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
@@ -41,25 +43,11 @@
     Some(buffer[..n].to_vec())
 }
 
-/// Lets time pass until this holds.
-async fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    for _ in 0..400 {
-        for _ in 0..50 {
-            if holds() {
-                return;
-            }
-            yield_now().await;
-        }
-        advance(Duration::from_millis(20)).await;
-    }
-    panic!("not so: {what}");
-}
-
 #[tokio::test(start_paused = true)]
 async fn nodes_tell_each_other_and_only_what_a_known_one_says_anew_counts() {
     let (node, own, other, worker) = first_of_two(true).await;
     let mut told = None;
-    until("it tells", || {
+    until("it tells", STEP, || {
         told = take(&other);
         told.is_some()
     })
@@ -72,7 +60,7 @@
     let own = own.local_addr().unwrap();
     let say = |from: &UdpSocket, bytes: &[u8]| assert_eq!(from.send_to(bytes, own).unwrap(), bytes.len());
     say(&other, &sent_at(100));
-    until("it counts", || node.counters.heard.get() == 1).await;
+    until("it counts", STEP, || node.counters.heard.get() == 1).await;
     let other_version = [&[2], &sent_at(103)[1..]].concat();
     let mut other_tenants = sent_at(104);
     other_tenants[1] ^= 1;
@@ -86,7 +74,7 @@
     say(&other, &[&sent_at(105)[..], &[0; 246]].concat()); // 257 bytes
     say(&other, &[0xff; 2000]);
     say(&other, &sent_at(106));
-    until("the last one counts", || node.counters.heard.get() == 2).await;
+    until("the last one counts", STEP, || node.counters.heard.get() == 2).await;
     // And all the while it serves.
     let mut client = Client::connect(&node).await;
     client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
@@ -109,7 +97,7 @@
     client.tell(&request("check", "9b1f03aa5c7e2d41", 60.0, "x")).await;
     worker.take().await.done("r").await;
     assert_eq!(client.answer().await.unwrap().body, "r");
-    until("it goes on telling", || node.counters.told.get() >= 3).await;
+    until("it goes on telling", STEP, || node.counters.told.get() >= 3).await;
     assert_eq!(node.counters.heard.get(), 0);
     node.owes_nothing().await;
 }
--- a/node/tests/probes.rs
+++ b/node/tests/probes.rs
@@ -2,12 +2,11 @@
 
 mod common;
 
-use common::{request, Client, Platform, Seen, Worker};
+use common::{request, until, Client, Platform, Seen, Worker};
 use serde_json::{json, Value};
 use std::time::Duration;
-use tokio::task::yield_now;
-use tokio::time::advance;
 
+const STEP: Duration = Duration::from_millis(5);
 const ID: &str = "9b1f03aa5c7e2d41";
 
 /// Workers tell free slots and nothing of starts: the module asks before it sends.
@@ -18,19 +17,6 @@
     settings
 }
 
-async fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    for _ in 0..400 {
-        for _ in 0..50 {
-            if holds() {
-                return;
-            }
-            yield_now().await;
-        }
-        advance(Duration::from_millis(5)).await;
-    }
-    panic!("not so: {what}");
-}
-
 async fn answers(probe: &mut Seen, body: &str) {
     assert!(probe.head.starts_with("GET /metrics/load HTTP/1.1\r\n"), "{}", probe.head);
     probe.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())).await;
@@ -98,7 +84,7 @@
             }
             held = Some(probe).filter(|_| case != "breaks");
         }
-        until("the probe has its outcome", || node.counters.holdings().unwrap().attempts == 0).await;
+        until("the probe has its outcome", STEP, || node.counters.holdings().unwrap().attempts == 0).await;
         assert_eq!(node.counters.probed.get(), 0, "{case}");
         let line = |worker: &Worker, id| worker.line(id, "in_service");
         let listed = bad.iter().map(|b| line(b, "s-1")).chain([line(&good, "s-2")]).collect();
@@ -110,7 +96,7 @@
             seen.done("r").await;
             (good, seen)
         });
-        until("the job is done", || node.counters.ok.get() == 1).await;
+        until("the job is done", STEP, || node.counters.ok.get() == 1).await;
         assert_eq!(client.answer().await.unwrap().body, "r", "{case}");
         accepted.await.unwrap();
         drop(held);
@@ -118,6 +104,29 @@
     }
 }
 
+/// A worker that is asked, tells room and turns the job away all the same: 'never ran' is said of the job, for nothing but the
+/// question was on its connection before. Also what may not be repeated goes out again.
+#[tokio::test(start_paused = true)]
+async fn a_job_turned_away_right_after_the_question_goes_out_again() {
+    let (full, free) = (Worker::start().await, Worker::start().await);
+    let mut settings = asking(true);
+    settings["Profiles"][0]["Semantics"] = "unsafe".into();
+    let node = Platform::under(settings, vec![full.line("s-1", "in_service")]).await;
+    let mut client = Client::connect(&node).await;
+    client.tell(&request("check", ID, 60.0, "x")).await;
+    let mut probe = full.take().await;
+    answers(&mut probe, "x0=1").await;
+    let mut seen = probe.next().await.expect("the job");
+    node.list(2, vec![full.line("s-1", "terminating"), free.line("s-2", "in_service")]).await;
+    seen.write("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n").await;
+    let mut probe = free.take().await;
+    answers(&mut probe, "x0=1").await;
+    probe.next().await.expect("the job").done("r").await;
+    assert_eq!(client.answer().await.unwrap().body, "r");
+    assert_eq!((node.counters.full.get(), node.counters.reset.get()), (1, 0));
+    node.owes_nothing().await;
+}
+
 /// Where the settings bar them there are none.
 #[tokio::test(start_paused = true)]
 async fn nobody_is_asked_where_the_settings_bar_it() {
