--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -539,6 +539,14 @@
     }
 }
 
+/// A node with one worker, and a client.
+pub async fn one() -> (Worker, Platform, Client) {
+    let worker = Worker::start().await;
+    let node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
+    let client = Client::connect(&node).await;
+    (worker, node, client)
+}
+
 /// Answers each call with the next text it is given, and is silent until then.
 async fn discover(
     agent: TcpListener,
--- a/node/tests/endings.rs
+++ b/node/tests/endings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{request, stop, stopping, Client, Platform, Seen, Worker};
+use common::{one, request, stop, stopping, Client, Platform, Seen, Worker};
 use molevale::names::read_settings;
 use molevale::phase::Phase;
 use molevale::retune::Tuning;
@@ -16,13 +16,6 @@
 const NEXT: &str = "9b1f03aa5c7e2d42";
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
-async fn one() -> (Worker, Platform, Client) {
-    let worker = Worker::start().await;
-    let node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
-    let client = Client::connect(&node).await;
-    (worker, node, client)
-}
-
 /// A worker that has served a job on a connection which is kept, and that connection.
 async fn kept(settings: serde_json::Value) -> (Worker, Platform, Client, Seen) {
     let worker = Worker::start().await;
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{checker, holds, request, stop, stopping, Client, Platform, Seen, Worker};
+use common::{checker, holds, one, request, stop, stopping, Client, Platform, Seen, Worker};
 use dewlever::api::Outcome;
 use molevale::names::read_settings;
 use molevale::phase::Phase;
@@ -16,13 +16,6 @@
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
-async fn one() -> (Worker, Platform, Client) {
-    let worker = Worker::start().await;
-    let node = Platform::start(vec![worker.line("s-1", "in_service")], 1024).await;
-    let client = Client::connect(&node).await;
-    (worker, node, client)
-}
-
 #[tokio::test(start_paused = true)]
 async fn a_request_goes_the_whole_way_and_its_bytes_stay() {
     let (worker, node, mut client) = one().await;
