--- a/fleet/src/codec.rs
+++ b/fleet/src/codec.rs
@@ -1,48 +1,53 @@
-//! Writes and reads `foca`'s messages with `postcard`, and notes who else claims the node's own name: `foca` itself
-//! takes every such word for an old one.
+//! Codec of `foca`'s messages (`postcard`), which also records other processes that claim the node's own name: `foca`
+//! itself takes each such claim for an outdated one.
 
 use crate::member::Identity;
 use bytes::{Buf, BufMut};
 use foca::{Codec, Header, Member, State};
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// The strongest other process of the node's name that was told to be there since this was looked at last. `foca` owns
-/// the codec and gives no way to it.
+/// Highest identity of another process with the node's name that was seen since the last [`NameConflicts::take`]. Shared
+/// with the codec, which `foca` owns and gives no access to.
 #[derive(Clone, Default)]
-pub(crate) struct Sightings(Arc<Mutex<Option<Identity>>>);
+pub(crate) struct NameConflicts(Arc<Mutex<Option<Identity>>>);
 
-impl Sightings {
+impl NameConflicts {
+    /// Records an identity, unless a higher one is recorded.
     pub fn add(&self, id: &Identity) {
         let mut last = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if last.as_ref().is_none_or(|r| id.beats(r)) {
+        if last.as_ref().is_none_or(|r| id.supersedes(r)) {
             *last = Some(id.clone());
         }
     }
 
+    /// Returns the recorded identity and forgets it.
     pub fn take(&self) -> Option<Identity> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 }
 
-/// A codec that looks out for one name.
-pub(crate) struct Watchful {
+/// A codec that records conflicts over one name.
+pub(crate) struct ConflictCodec {
+    /// Name of this node.
     pub name: String,
+    /// This process.
     pub boot: u64,
-    pub sightings: Sightings,
+    /// Record of conflicts.
+    pub name_conflicts: NameConflicts,
 }
 
-impl Watchful {
-    fn sight(&self, id: &Identity) {
+impl ConflictCodec {
+    fn check_name(&self, id: &Identity) {
         if id.name == self.name && id.boot != self.boot {
-            self.sightings.add(id);
+            self.name_conflicts.add(id);
         }
     }
 }
 
 type Result<T> = std::result::Result<T, postcard::Error>;
 
-fn put(what: &impl serde::Serialize, mut buf: impl BufMut) -> Result<()> {
-    let bytes = postcard::to_stdvec(what)?;
+fn put(value: &impl serde::Serialize, mut buf: impl BufMut) -> Result<()> {
+    let bytes = postcard::to_stdvec(value)?;
     if buf.remaining_mut() < bytes.len() {
         return Err(postcard::Error::SerializeBufferFull);
     }
@@ -51,21 +56,21 @@
 }
 
 fn take<T: for<'a> serde::Deserialize<'a>>(mut buf: impl Buf) -> Result<T> {
-    let (what, rest) = postcard::take_from_bytes(buf.chunk())?;
+    let (value, rest) = postcard::take_from_bytes(buf.chunk())?;
     let used = buf.remaining() - rest.len();
     buf.advance(used);
-    Ok(what)
+    Ok(value)
 }
 
-fn sound(id: &Identity) -> Result<()> {
-    if id.sound() {
+fn validate(id: &Identity) -> Result<()> {
+    if id.is_valid() {
         Ok(())
     } else {
         Err(postcard::Error::SerdeDeCustom)
     }
 }
 
-impl Codec<Identity> for Watchful {
+impl Codec<Identity> for ConflictCodec {
     type Error = postcard::Error;
 
     fn encode_header(&mut self, header: &Header<Identity>, buf: impl BufMut) -> Result<()> {
@@ -74,8 +79,8 @@
 
     fn decode_header(&mut self, buf: impl Buf) -> Result<Header<Identity>> {
         let header: Header<Identity> = take(buf)?;
-        sound(&header.src)?;
-        self.sight(&header.src);
+        validate(&header.src)?;
+        self.check_name(&header.src);
         Ok(header)
     }
 
@@ -85,9 +90,9 @@
 
     fn decode_member(&mut self, buf: impl Buf) -> Result<Member<Identity>> {
         let member: Member<Identity> = take(buf)?;
-        sound(member.id())?;
+        validate(member.id())?;
         if member.state() != State::Down {
-            self.sight(member.id());
+            self.check_name(member.id());
         }
         Ok(member)
     }
--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -1,4 +1,4 @@
-//! The operator's file that lets a node talk to the others; see `deploy/fleet.toml`.
+//! Configuration file of the fleet, as operators write it; see `deploy/fleet.toml`.
 
 use crate::machine::Timing;
 use crate::member::NAME_MAX;
@@ -8,60 +8,60 @@
 use std::time::Duration;
 use toml::Spanned;
 
-/// Errands at most, and how long a name of one may be: bounds what the voters agree on.
-const ERRANDS_MAX: usize = 32;
-const ERRAND_NAME: usize = 48;
+/// Most scheduled calls, and the longest name of one in bytes. Bounds what the voters replicate.
+const SCHEDULED_CALLS_MAX: usize = 32;
+const SCHEDULED_CALL_NAME_MAX: usize = 48;
 
-/// What the file tells.
+/// Content of the file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct File {
-    /// The fleet's name: installations with different names never mix, not even with one key.
+    /// Name of the fleet. Installations with different names never mix, not even if they share a key.
     pub fleet: String,
-    /// Where the node listens, with UDP and TCP.
+    /// Address that the node listens at, with UDP and TCP.
     pub listen: SocketAddr,
-    /// Where the others reach it, if that differs.
+    /// Address at which other nodes reach it; `listen` if the file has none.
     pub advertise: SocketAddr,
-    /// Its zone.
+    /// Zone; empty if the file has none.
     pub zone: String,
-    /// Where the keys are; as it stands in the file.
+    /// Path of the key file, as written.
     pub key_file: PathBuf,
-    /// Nodes to ask first; the node itself may be among them.
+    /// Addresses of the nodes to contact first; the node itself may be among them.
     pub seeds: Vec<SocketAddr>,
-    /// How often and for how long.
+    /// Timing of the protocol.
     pub timing: Timing,
-    /// The duties that one node holds at a time; none without the section.
+    /// Duties that one node holds at a time; `None` without the section.
     pub duties: Option<Duties>,
 }
 
-/// What the section `duties` tells.
+/// Content of the section `duties`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Duties {
-    /// The folder of what a voter must not forget; as it stands in the file. A node without one is never a voter.
+    /// Path of the folder of the durable voter state, as written. A node without one is never a voter.
     pub state: Option<PathBuf>,
-    /// The voters that found themselves, and that everybody asks first: their names and where they are reached.
+    /// Names and addresses of the initial voters, which every node asks first.
     pub voters: Vec<(String, SocketAddr)>,
-    /// For which a duty is granted.
+    /// Duration of a lease on a duty.
     pub lease: Duration,
-    /// Without a leader, before a voter calls for an election.
+    /// Election timeout: time without a leader after which a voter starts an election.
     pub election: Duration,
     /// Whether one node of each zone follows discovery for the others.
     pub lists: bool,
     /// Whether operators may have the nodes restarted one after another.
     pub roll: bool,
-    /// Calls that whoever holds the duty of that name makes.
-    pub errands: Vec<Errand>,
+    /// Periodic calls, each made by the holder of the duty of its name.
+    pub scheduled_calls: Vec<ScheduledCall>,
 }
 
-/// A call that one node makes for all, now and then.
+/// A periodic call that one node makes for all.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Errand {
-    /// Its name.
+pub struct ScheduledCall {
+    /// Name.
     pub name: String,
-    /// Whom to call.
+    /// Address of the callee.
     pub at: SocketAddr,
-    /// The path of the call.
+    /// Path of the request.
     pub path: String,
-    /// How often.
+    /// Interval between two calls.
     pub every: Duration,
 }
 
@@ -76,8 +76,8 @@
     lists: bool,
     #[serde(default)]
     roll: bool,
-    #[serde(default)]
-    errand: Vec<RawErrand>,
+    #[serde(default, rename = "errand")]
+    scheduled_calls: Vec<RawScheduledCall>,
 }
 
 #[derive(Deserialize)]
@@ -89,7 +89,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct RawErrand {
+struct RawScheduledCall {
     name: Spanned<String>,
     at: Spanned<String>,
     path: Spanned<String>,
@@ -122,24 +122,33 @@
     forget_s: Option<Spanned<u64>>,
 }
 
-/// Why the file was not taken: the line, from 1 on, and what is wrong there.
+/// Error in the file: the line, from 1, and the reason.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
-#[error("line {line}: {what}")]
-pub struct BadFile {
+#[error("line {line}: {reason}")]
+pub struct ConfigError {
     line: usize,
-    what: String,
+    reason: String,
+}
+
+impl ConfigError {
+    /// Line of the file, from 1.
+    pub fn line(&self) -> usize {
+        self.line
+    }
 }
 
 impl File {
-    /// Reads the file's text and checks it whole.
-    pub fn parse(text: &str) -> Result<File, BadFile> {
+    /// Parses and validates the text of the file.
+    pub fn parse(text: &str) -> Result<File, ConfigError> {
         let line = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
         let raw: Raw = toml::from_str(text).map_err(|e| {
             let line = e.span().map_or(1, |s| line(s.start));
-            BadFile { line, what: e.message().trim().replace('\n', " ") }
+            ConfigError { line, reason: e.message().trim().replace('\n', " ") }
         })?;
-        let bad =
-            |at: &std::ops::Range<usize>, what: &str| BadFile { line: line(at.start), what: what.into() };
+        let bad = |at: &std::ops::Range<usize>, reason: &str| ConfigError {
+            line: line(at.start),
+            reason: reason.into(),
+        };
         let address = |given: &Spanned<String>| match given.get_ref().parse::<SocketAddr>() {
             Ok(at) if !at.ip().is_unspecified() => Ok(at),
             _ => Err(bad(&given.span(), "an address and a port are wanted, such as 127.0.0.1:7946")),
@@ -186,16 +195,16 @@
                 if ![3, 5].contains(&voters.len()) {
                     return Err(bad(&d.voters.span(), "3 or 5 voters are wanted"));
                 }
-                let mut errands: Vec<Errand> = Vec::new();
-                for e in &d.errand {
+                let mut scheduled_calls: Vec<ScheduledCall> = Vec::new();
+                for e in &d.scheduled_calls {
                     let own = name(&e.name, "an errand's name")?;
-                    if own.len() > ERRAND_NAME || errands.len() >= ERRANDS_MAX {
+                    if own.len() > SCHEDULED_CALL_NAME_MAX || scheduled_calls.len() >= SCHEDULED_CALLS_MAX {
                         return Err(bad(
                             &e.name.span(),
                             "the name is too long, or there are too many errands",
                         ));
                     }
-                    if errands.iter().any(|o| o.name == own) {
+                    if scheduled_calls.iter().any(|o| o.name == own) {
                         return Err(bad(&e.name.span(), "this errand was named before"));
                     }
                     let path = e.path.get_ref().clone();
@@ -203,12 +212,12 @@
                         return Err(bad(&e.path.span(), "a path is wanted, such as /run"));
                     }
                     let every = span(&e.every_ms, 1, Duration::from_secs(1), 10, 86_400_000)?;
-                    errands.push(Errand { name: own, at: address(&e.at)?, path, every });
+                    scheduled_calls.push(ScheduledCall { name: own, at: address(&e.at)?, path, every });
                 }
                 let lease = span(&d.lease_ms, 1, Duration::from_secs(10), 1000, 600_000)?;
                 let election = span(&d.election_ms, 1, Duration::from_secs(1), 100, 60_000)?;
                 let (state, lists, roll) = (d.state.clone(), d.lists, d.roll);
-                Some(Duties { state, voters, lease, election, lists, roll, errands })
+                Some(Duties { state, voters, lease, election, lists, roll, scheduled_calls })
             }
         };
         let listen = address(&raw.listen)?;
--- /dev/null
+++ b/fleet/src/fragments.rs
@@ -0,0 +1,123 @@
+//! Messages of other subsystems, split into fragments that fit a datagram and put together again in bounded memory.
+
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Payload of one fragment, in bytes.
+pub(crate) const FRAGMENT_MAX: usize = 1200;
+/// Longest message of another subsystem, in bytes.
+pub const MESSAGE_MAX: usize = 64 * 1024;
+/// Incomplete messages held at once; the oldest is evicted for a new one.
+const INCOMPLETE_MAX: usize = 32;
+/// Age at which an incomplete message is lost.
+const REASSEMBLY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One fragment of a message. The order of the fields is part of the datagram format.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Fragment {
+    /// Position in the message, from 0.
+    pub index: u16,
+    /// Fragments that the message consists of.
+    pub count: u16,
+    /// Payload.
+    pub bytes: Vec<u8>,
+}
+
+/// Splits a message into fragments, in order. An empty message is one empty fragment.
+pub(crate) fn split(message: &[u8]) -> impl Iterator<Item = Fragment> + '_ {
+    let count = message.len().div_ceil(FRAGMENT_MAX).max(1);
+    (0..count).map(move |index| {
+        let start = index * FRAGMENT_MAX;
+        let end = message.len().min(start + FRAGMENT_MAX);
+        Fragment { index: index as u16, count: count as u16, bytes: message[start..end].to_vec() }
+    })
+}
+
+struct Incomplete {
+    fragments: Vec<Option<Vec<u8>>>,
+    missing: usize,
+    started: Duration,
+}
+
+/// Incomplete messages, by the sending process and its message number.
+///
+/// Guards memory: at most [`INCOMPLETE_MAX`] messages of [`MESSAGE_MAX`] bytes are held, whatever arrives.
+#[derive(Default)]
+pub(crate) struct Reassembler(HashMap<(u64, u64), Incomplete>);
+
+impl Reassembler {
+    /// Adds a fragment and returns the message once it is complete. A fragment that is invalid or was received before
+    /// is ignored.
+    pub fn insert(&mut self, now: Duration, boot: u64, message: u64, fragment: Fragment) -> Option<Vec<u8>> {
+        let Fragment { index, count, bytes } = fragment;
+        let (index, count) = (usize::from(index), usize::from(count));
+        if index >= count || count > MESSAGE_MAX.div_ceil(FRAGMENT_MAX) || bytes.len() > FRAGMENT_MAX {
+            return None;
+        }
+        if count == 1 {
+            return Some(bytes);
+        }
+        let key = (boot, message);
+        if !self.0.contains_key(&key) {
+            self.make_room(now);
+        }
+        let new = || Incomplete { fragments: vec![None; count], missing: count, started: now };
+        let incomplete = self.0.entry(key).or_insert_with(new);
+        let slot = incomplete.fragments.get_mut(index).filter(|slot| slot.is_none())?;
+        *slot = Some(bytes);
+        incomplete.missing -= 1;
+        if incomplete.missing > 0 {
+            return None;
+        }
+        let complete = self.0.remove(&key)?;
+        Some(complete.fragments.into_iter().flatten().flatten().collect())
+    }
+
+    /// Makes room for one more message: drops expired ones, and the oldest if that is not enough.
+    fn make_room(&mut self, now: Duration) {
+        if self.0.len() < INCOMPLETE_MAX {
+            return;
+        }
+        self.0.retain(|_, incomplete| now.saturating_sub(incomplete.started) < REASSEMBLY_TIMEOUT);
+        if self.0.len() < INCOMPLETE_MAX {
+            return;
+        }
+        let oldest = self.0.iter().min_by_key(|(key, incomplete)| (incomplete.started, **key));
+        if let Some(key) = oldest.map(|(key, _)| *key) {
+            self.0.remove(&key);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fragment(index: u16, count: u16, bytes: Vec<u8>) -> Fragment {
+        Fragment { index, count, bytes }
+    }
+
+    #[test]
+    fn a_message_is_complete_once_all_fragments_have_arrived_in_any_order() {
+        let (mut reassembler, s) = (Reassembler::default(), Duration::from_secs(1));
+        assert_eq!(reassembler.insert(s, 1, 1, fragment(0, 1, vec![9])), Some(vec![9]));
+        assert_eq!(reassembler.insert(s, 1, 2, fragment(2, 3, vec![3])), None);
+        assert_eq!(reassembler.insert(s, 1, 2, fragment(0, 3, vec![1])), None);
+        assert_eq!(reassembler.insert(s, 1, 2, fragment(0, 3, vec![7])), None, "twice");
+        assert_eq!(reassembler.insert(s, 2, 2, fragment(1, 3, vec![8])), None, "of another process");
+        assert_eq!(reassembler.insert(s, 1, 2, fragment(1, 3, vec![2])), Some(vec![1, 2, 3]));
+    }
+
+    #[test]
+    fn fragments_that_never_complete_a_message_are_bounded() {
+        let mut reassembler = Reassembler::default();
+        for i in 0..1000 {
+            let now = Duration::from_millis(i);
+            assert_eq!(reassembler.insert(now, i, i, fragment(0, 2, vec![0; FRAGMENT_MAX])), None);
+            assert_eq!(reassembler.insert(now, i, i, fragment(3, 2, vec![0])), None, "no such piece");
+            assert_eq!(reassembler.insert(now, i, i, fragment(0, 999, vec![0])), None, "too many");
+        }
+        assert!(reassembler.0.len() <= INCOMPLETE_MAX);
+    }
+}
--- a/fleet/src/keys.rs
+++ b/fleet/src/keys.rs
@@ -1,70 +1,77 @@
-//! The key that all nodes of a fleet share, and the seal that it puts on each message.
+//! Shared keys of a fleet, and the message authentication code (MAC) that they put on each message.
 
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 
-/// Of the MAC's 32 bytes, as many as go along: 128 bits.
+/// Length of the truncated MAC on the wire, in bytes: 128 bits.
 pub const TAG: usize = 16;
-/// The shortest key, in bytes.
+/// Shortest key, in bytes.
 const KEY_MIN: usize = 16;
-/// The longest key, in bytes.
+/// Longest key, in bytes.
 const KEY_MAX: usize = 64;
 
-/// The key that seals, and the one before it, which still opens: keys change without a moment in which nodes can't
-/// talk.
+/// Current key, which seals and opens messages, and the previous one, which only opens them. Guards against an outage
+/// while keys are rotated.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Keys {
     current: Vec<u8>,
     previous: Option<Vec<u8>>,
 }
 
-/// Why a key file was not taken: the line, from 1 on, and what is wrong there.
+/// Error in a key file: the line, from 1, and the reason.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
-#[error("line {line}: {what}")]
-pub struct BadKeys {
+#[error("line {line}: {reason}")]
+pub struct KeyError {
     line: usize,
-    what: &'static str,
+    reason: &'static str,
+}
+
+impl KeyError {
+    /// Line of the file, from 1.
+    pub fn line(&self) -> usize {
+        self.line
+    }
 }
 
 impl Keys {
-    /// Reads a key file: lines `current HEX` and, at a change of keys, `previous HEX`; `#` begins a comment.
-    pub fn parse(text: &str) -> Result<Keys, BadKeys> {
+    /// Parses a key file: lines `current HEX` and, during a rotation, `previous HEX`; `#` begins a comment.
+    pub fn parse(text: &str) -> Result<Keys, KeyError> {
         let (mut current, mut previous) = (None, None);
         let mut last = 1;
         for (line, words) in text.lines().enumerate().map(|(n, l)| (n + 1, l.split_whitespace())) {
             last = line;
-            let bad = |what| BadKeys { line, what };
+            let error = |reason| KeyError { line, reason };
             let words: Vec<&str> = words.take_while(|w| !w.starts_with('#')).collect();
             let (name, hex) = match words.as_slice() {
                 [] => continue,
                 [name, hex] => (*name, *hex),
-                _ => return Err(bad("a name and a key are wanted")),
+                _ => return Err(error("a name and a key are wanted")),
             };
-            let place = match name {
+            let slot = match name {
                 "current" => &mut current,
                 "previous" => &mut previous,
-                _ => return Err(bad("neither 'current' nor 'previous'")),
+                _ => return Err(error("neither 'current' nor 'previous'")),
             };
-            if place.is_some() {
-                return Err(bad("this key was given before"));
+            if slot.is_some() {
+                return Err(error("this key was given before"));
             }
-            *place = Some(bytes(hex).ok_or(bad("a key is 16 to 64 bytes, as hexadecimal digits"))?);
+            *slot = Some(parse_hex(hex).ok_or(error("a key is 16 to 64 bytes, as hexadecimal digits"))?);
         }
-        let current = current.ok_or(BadKeys { line: last, what: "there is no current key" })?;
+        let current = current.ok_or(KeyError { line: last, reason: "there is no current key" })?;
         Ok(Keys { current, previous })
     }
 
-    /// Adds the seal behind a message.
+    /// Appends the MAC of the current key to a message.
     pub fn seal(&self, message: &mut Vec<u8>) {
         let tag = mac(&self.current, message).finalize().into_bytes();
         message.extend_from_slice(&tag[..TAG]);
     }
 
-    /// The message without its seal, if one of the keys made it. Takes the same time for every wrong one.
+    /// Returns the message without its MAC, or `None` if it was made with neither key. Compares in constant time.
     pub fn open<'a>(&self, sealed: &'a [u8]) -> Option<&'a [u8]> {
         let (message, tag) = sealed.split_at(sealed.len().checked_sub(TAG)?);
-        let fits = |key: &Vec<u8>| mac(key, message).verify_truncated_left(tag).is_ok();
-        (fits(&self.current) || self.previous.as_ref().is_some_and(fits)).then_some(message)
+        let verifies = |key: &Vec<u8>| mac(key, message).verify_truncated_left(tag).is_ok();
+        (verifies(&self.current) || self.previous.as_ref().is_some_and(verifies)).then_some(message)
     }
 }
 
@@ -74,7 +81,8 @@
     mac
 }
 
-fn bytes(hex: &str) -> Option<Vec<u8>> {
+/// Decodes a key of an allowed length from hexadecimal digits.
+fn parse_hex(hex: &str) -> Option<Vec<u8>> {
     let digits: Option<Vec<u8>> = hex.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
     let digits = digits.filter(|d| d.len() % 2 == 0)?;
     let key: Vec<u8> = digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]).collect();
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -11,20 +11,21 @@
 #![warn(missing_docs)]
 
 mod codec;
-mod exchange;
 pub mod file;
+mod fleet_size;
+mod fragments;
 pub mod keys;
 mod machine;
 mod member;
 mod packet;
 mod session;
-mod shown;
-mod stand;
-mod words;
+mod state_sync;
+mod status;
 
-pub use exchange::{Asked, FRAME_MAX};
-pub use machine::{Action, Birth, Config, Figures, Machine, Note, Refused, Timing};
-pub use member::{Identity, Line, Peer, Phase, Status, View, NAME_MAX};
-pub use packet::{hash, DATAGRAM_MAX, RATES_MAX, WORD_MAX};
-pub use shown::{Shown, Standing};
-pub use stand::{Others, Stand};
+pub use fleet_size::{FleetSize, OtherMembers};
+pub use fragments::MESSAGE_MAX;
+pub use machine::{Action, Config, Counters, Machine, MembershipEvent, ProcessStart, Refused, Timing};
+pub use member::{Identity, MemberInfo, MemberStatus, Peer, Phase, View, NAME_MAX};
+pub use packet::{hash, DATAGRAM_MAX, RATES_MAX};
+pub use state_sync::{PendingSync, FRAME_MAX};
+pub use status::{SenderCounts, Status};
--- a/fleet/src/machine.rs
+++ b/fleet/src/machine.rs
@@ -1,16 +1,14 @@
 //! The machine: SWIM below, and over it sealed messages, names, comings and goings. It has no I/O: what comes in and the
 //! time go in, actions come out.
 
-use crate::codec::{Sightings, Watchful};
-use crate::exchange::{Asked, State, FRAME_MAX, MEMBERS_MAX};
+use crate::codec::{ConflictCodec, NameConflicts};
+use crate::fleet_size::{FleetSize, OtherMembers};
+use crate::fragments::{split, Reassembler, MESSAGE_MAX};
 use crate::keys::Keys;
-use crate::member::{millis, Identity, Line, Peer, Phase, Status, View};
-use crate::packet::{
-    hash, pack, unpack, Bad, Body, Packet, DATAGRAM_MAX, GOSSIP_MAX, PIECE, RATES_MAX, WORD_MAX,
-};
-use crate::session::{Sessions, Verdict};
-use crate::stand::{Others, Stand};
-use crate::words::Words;
+use crate::member::{millis, Identity, MemberInfo, MemberStatus, Peer, Phase, View};
+use crate::packet::{decode, encode, hash, Body, DecodeError, Packet, DATAGRAM_MAX, GOSSIP_MAX, RATES_MAX};
+use crate::session::{Admission, Sessions};
+use crate::state_sync::{FullState, PendingSync, FRAME_MAX, MEMBERS_MAX};
 use foca::{Foca, Member, NoCustomBroadcast, Notification, PeriodicParams};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -21,23 +19,23 @@
 use std::time::Duration;
 
 /// Members asked in place of one that gave no answer, and told at once of news.
-const HELPERS: NonZeroUsize = NonZeroUsize::new(3).expect("above zero");
+const INDIRECT_PROBES: NonZeroUsize = NonZeroUsize::new(3).expect("above zero");
 /// Between two rounds of news, while there are any.
-const NEWS_EVERY: Duration = Duration::from_millis(200);
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
 /// A timer that is later than this was held up by the process, not by the fleet: what others did not answer meanwhile
 /// is not held against them.
-const STALL: Duration = Duration::from_millis(500);
+const STALL_MIN: Duration = Duration::from_millis(500);
 /// Between two exchanges of whole states that this node begins.
-const EXCHANGE_GAP: Duration = Duration::from_secs(3);
+const SYNC_INTERVAL: Duration = Duration::from_secs(3);
 /// For which two views may differ before they are exchanged whole: news take their time.
-const DIFFER: Duration = Duration::from_secs(3);
+const DIVERGENCE_MAX: Duration = Duration::from_secs(3);
 /// Messages that are kept for a receiver that may challenge them, and for how long.
-const KEPT: usize = 64;
-const KEPT_FOR: Duration = Duration::from_secs(2);
+const RESEND_MAX: usize = 64;
+const RESEND_LIFETIME: Duration = Duration::from_secs(2);
 /// Proofs given in a second at most: each answers a challenge, which may be played back.
-const PROOFS: u32 = 200;
+const PROOFS_PER_SECOND: u32 = 200;
 /// Questions to a process of the same name before it is held to be gone.
-const RIVAL_ASKED: u32 = 4;
+const RIVAL_PROBES: u32 = 4;
 
 /// How often and for how long.
 #[derive(Clone, Debug, PartialEq)]
@@ -87,7 +85,7 @@
 
 /// What is new with each start.
 #[derive(Clone, Copy, Debug)]
-pub struct Birth {
+pub struct ProcessStart {
     /// Drawn at random: tells this process from every other.
     pub boot: u64,
     /// Unix time, in milliseconds. A clock that was set back costs a moment, not the place: see the incarnation.
@@ -106,8 +104,8 @@
         /// What.
         bytes: Vec<u8>,
     },
-    /// Exchange whole states over a stream: see [`Machine::ask_state`].
-    Exchange {
+    /// Exchange whole states over a stream: see [`Machine::request_sync`].
+    SyncState {
         /// With whom.
         to: SocketAddr,
     },
@@ -119,19 +117,19 @@
         rates: Vec<(u64, u16)>,
     },
     /// A word of another subsystem has come.
-    Word {
+    Message {
         /// From where; the process there has shown that it is there now.
         from: SocketAddr,
         /// What.
         bytes: Vec<u8>,
     },
     /// Tell on-call staff.
-    Note(Note),
+    Event(MembershipEvent),
 }
 
 /// A change worth a record.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Note {
+pub enum MembershipEvent {
     /// A member is there: new, again, or with another phase.
     Up(Identity),
     /// A member is held dead.
@@ -145,7 +143,7 @@
     /// Another process has this node's name and counts: this one keeps out of the view.
     Yielded(Identity),
     /// Another process has this node's name; it ought to yield.
-    Rival(Identity),
+    NameConflict(Identity),
 }
 
 /// Why datagrams were refused, by reason.
@@ -169,7 +167,7 @@
 
 /// Counters of one machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Figures {
+pub struct Counters {
     /// Datagrams sent.
     pub sent: u64,
     /// Their bytes.
@@ -182,7 +180,7 @@
     pub refused: Refused,
     /// Whole states taken in.
     pub states: u64,
-    /// Words on tenants' rates taken in.
+    /// Reassembler on tenants' rates taken in.
     pub rates: u64,
     /// Members that were held dead.
     pub deaths: u64,
@@ -196,22 +194,22 @@
     Foca(foca::Timer<Identity>),
     Contact,
     /// It was held dead: time for a word on who else may have its name is over.
-    Return,
+    Rejoin,
 }
 
 /// What `foca` wants done, until the machine gets to it.
 #[derive(Default)]
-struct Wishes {
+struct FocaEffects {
     sends: VecDeque<(Identity, Vec<u8>)>,
     timers: Vec<(foca::Timer<Identity>, Duration)>,
     /// Members that changed, in order; `None` where both the old and the new life are there, or neither is.
     changed: Vec<(Identity, Option<bool>)>,
     /// Something may have changed that it says nothing of: all members are to be looked at.
-    unsure: bool,
+    rescan: bool,
     defunct: bool,
 }
 
-impl foca::Runtime<Identity> for &mut Wishes {
+impl foca::Runtime<Identity> for &mut FocaEffects {
     fn notify(&mut self, notification: Notification<'_, Identity>) {
         match notification {
             Notification::MemberUp(id) => self.changed.push((id.clone(), Some(true))),
@@ -231,23 +229,23 @@
     }
 }
 
-struct Known {
+struct KnownMember {
     identity: Identity,
-    status: Status,
+    status: MemberStatus,
     since: Duration,
 }
 
 /// Another process with this node's name that would count: is it there?
-struct Check {
+struct RivalProbe {
     rival: Identity,
     asked: u32,
 }
 
 #[derive(PartialEq)]
-enum Standing {
-    In,
+enum Participation {
+    Active,
     /// Held dead; it waits a moment before it comes back.
-    Undead,
+    DeclaredDead,
     /// Another process of its name is there.
     Yielded(Identity),
     Left,
@@ -258,111 +256,115 @@
     config: Config,
     boot: u64,
     fleet: u64,
-    foca: Foca<Identity, Watchful, SmallRng, NoCustomBroadcast>,
-    sightings: Sightings,
+    foca: Foca<Identity, ConflictCodec, SmallRng, NoCustomBroadcast>,
+    name_conflicts: NameConflicts,
     rng: SmallRng,
-    wishes: Wishes,
+    effects: FocaEffects,
     actions: VecDeque<Action>,
     timers: BTreeMap<(Duration, u64), Timer>,
     order: u64,
     skipped: Duration,
     sessions: Sessions,
     number: u64,
-    kept: VecDeque<(SocketAddr, Duration, Body)>,
+    unproven_sends: VecDeque<(SocketAddr, Duration, Body)>,
     proofs: (Duration, u32),
-    words: Words,
-    word: u64,
-    known: BTreeMap<String, Known>,
+    reassembler: Reassembler,
+    message_number: u64,
+    known: BTreeMap<String, KnownMember>,
     /// Members of `foca`'s that are not among the known: one of this node's own name, or none.
     unlisted: usize,
-    /// Of the known, how many are there; and a sum over their lives.
-    there: usize,
-    lives: u64,
+    /// Of the known, how many are there; and a sum over their digest_sum.
+    present: usize,
+    digest_sum: u64,
     /// For how many `foca` is set up.
-    set_up_for: usize,
+    configured_members: usize,
     ages: BTreeMap<String, Duration>, // of those that a state tells as dead, while it is taken in
     joined: bool,
     changed_at: Duration,
-    differs: Option<Duration>,
-    exchange_from: Duration,
-    standing: Standing,
-    check: Option<Check>,
-    rival_told: Duration,
-    figures: Figures,
+    diverged_since: Option<Duration>,
+    next_sync_at: Duration,
+    participation: Participation,
+    rival_probe: Option<RivalProbe>,
+    rival_notified: Duration,
+    counters: Counters,
 }
 
-/// News reach all with this many tellings of each, by a margin that grows with the fleet's logarithm.
-fn tellings(members: usize) -> u32 {
+/// News reach all with this many transmissions of each, by a margin that grows with the fleet's logarithm.
+fn transmissions(members: usize) -> u32 {
     4 + 3 * (usize::BITS - members.leading_zeros())
 }
 
 fn swim(timing: &Timing, members: usize) -> foca::Config {
-    let tellings = tellings(members);
+    let transmissions = transmissions(members);
     foca::Config {
         probe_period: timing.probe,
         probe_rtt: timing.answer,
-        num_indirect_probes: HELPERS,
-        max_transmissions: NonZeroU8::new(tellings.min(60) as u8).unwrap_or(NonZeroU8::MAX),
+        num_indirect_probes: INDIRECT_PROBES,
+        max_transmissions: NonZeroU8::new(transmissions.min(60) as u8).unwrap_or(NonZeroU8::MAX),
         suspect_to_down_after: timing.suspicion,
         remove_down_after: Some(timing.forget),
         max_packet_size: NonZeroUsize::new(GOSSIP_MAX).unwrap_or(NonZeroUsize::MAX),
         notify_down_members: true,
         periodic_announce: None,
         periodic_announce_to_down_members: None,
-        periodic_gossip: Some(PeriodicParams { frequency: NEWS_EVERY, num_members: HELPERS }),
+        periodic_gossip: Some(PeriodicParams { frequency: GOSSIP_INTERVAL, num_members: INDIRECT_PROBES }),
     }
 }
 
 impl Machine {
     /// A node that has just started, at `now` on a clock that only runs forward.
-    pub fn new(config: Config, birth: Birth, now: Duration) -> Machine {
-        let mut rng = SmallRng::seed_from_u64(birth.seed);
+    pub fn new(config: Config, start: ProcessStart, now: Duration) -> Machine {
+        let mut rng = SmallRng::seed_from_u64(start.seed);
         let own = Identity {
             name: config.name.clone(),
             zone: config.zone.clone(),
             address: config.advertise,
-            boot: birth.boot,
-            incarnation: birth.unix_ms,
+            boot: start.boot,
+            incarnation: start.unix_ms,
             phase: Phase::Serving,
             hash: hash(&config.name),
         };
-        let sightings = Sightings::default();
-        let codec = Watchful { name: config.name.clone(), boot: birth.boot, sightings: sightings.clone() };
+        let name_conflicts = NameConflicts::default();
+        let codec = ConflictCodec {
+            name: config.name.clone(),
+            boot: start.boot,
+            name_conflicts: name_conflicts.clone(),
+        };
         let foca_rng = SmallRng::seed_from_u64(rng.random());
         let mut machine = Machine {
-            boot: birth.boot,
+            boot: start.boot,
             fleet: hash(&config.fleet),
             foca: Foca::new(own, swim(&config.timing, 1), foca_rng, codec),
-            sightings,
+            name_conflicts,
             rng,
-            wishes: Wishes::default(),
+            effects: FocaEffects::default(),
             actions: VecDeque::new(),
             timers: BTreeMap::new(),
             order: 0,
             skipped: Duration::ZERO,
             sessions: Sessions::default(),
             number: 0,
-            kept: VecDeque::new(),
+            unproven_sends: VecDeque::new(),
             proofs: (now, 0),
-            words: Words::default(),
-            word: 0,
+            reassembler: Reassembler::default(),
+            message_number: 0,
             known: BTreeMap::new(),
             unlisted: 0,
-            there: 0,
-            lives: 0,
-            set_up_for: 1,
+            present: 0,
+            digest_sum: 0,
+            configured_members: 1,
             ages: BTreeMap::new(),
             joined: false,
             changed_at: now,
-            differs: None,
-            exchange_from: now,
-            standing: Standing::In,
-            check: None,
-            rival_told: now,
-            figures: Figures::default(),
+            diverged_since: None,
+            next_sync_at: now,
+            participation: Participation::Active,
+            rival_probe: None,
+            rival_notified: now,
+            counters: Counters::default(),
             config,
         };
-        machine.plan(now, Timer::Contact, Duration::ZERO);
+        machine.schedule(now, Timer::Contact, Duration::ZERO);
         machine
     }
 
@@ -384,23 +386,25 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
-        let now = self.clock(now);
+        let now = self.local_time(now);
         while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
             match entry.remove() {
                 Timer::Foca(timer) if self.is_refuted(&timer) => {}
                 Timer::Foca(timer @ foca::Timer::RemoveDown(_)) => {
-                    self.wishes.unsure = true;
-                    drop(self.foca.handle_timer(timer, &mut self.wishes));
+                    self.effects.rescan = true;
+                    drop(self.foca.handle_timer(timer, &mut self.effects));
                 }
                 // An error here is a probe that the process itself held up; the next one goes on.
-                Timer::Foca(timer) => drop(self.foca.handle_timer(timer, &mut self.wishes)),
-                Timer::Contact => self.contact(now),
-                Timer::Return if self.standing == Standing::Undead && self.check.is_none() => {
-                    self.come_back(now, 0)
+                Timer::Foca(timer) => drop(self.foca.handle_timer(timer, &mut self.effects)),
+                Timer::Contact => self.contact_missing(now),
+                Timer::Rejoin
+                    if self.participation == Participation::DeclaredDead && self.rival_probe.is_none() =>
+                {
+                    self.rejoin(now, 0)
                 }
-                Timer::Return => {}
+                Timer::Rejoin => {}
             }
-            self.settle(now);
+            self.apply_effects(now);
         }
     }
 
@@ -415,48 +419,48 @@
 
     /// Takes a datagram in, whatever it holds.
     pub fn datagram(&mut self, now: Duration, bytes: &[u8]) {
-        let now = self.clock(now);
-        let packet: Packet = match unpack(&self.config.keys, bytes, DATAGRAM_MAX) {
+        let now = self.local_time(now);
+        let packet: Packet = match decode(&self.config.keys, bytes, DATAGRAM_MAX) {
             Ok(packet) => packet,
             Err(bad) => return self.refuse(bad),
         };
         if packet.fleet != self.fleet || packet.to != self.config.advertise || packet.boot == self.boot {
-            self.figures.refused.astray += 1;
+            self.counters.refused.astray += 1;
             return;
         }
         let Packet { boot, from, number, body, .. } = packet;
         match body {
             Body::Challenge(nonce) => self.prove(now, from, nonce),
             Body::Proof(nonce, again) => {
-                if self.sessions.prove(now, boot, number, nonce) {
+                if self.sessions.complete_challenge(now, boot, number, nonce) {
                     if let Some(body) = again {
-                        self.hear(now, boot, from, *body, bytes.len());
+                        self.handle_body(now, boot, from, *body, bytes.len());
                     }
                 } else {
-                    self.figures.refused.replayed += 1;
+                    self.counters.refused.replayed += 1;
                 }
             }
             body => {
                 let rng = &mut self.rng;
-                match self.sessions.hear(now, boot, number, || rng.random()) {
-                    Verdict::Fresh => self.hear(now, boot, from, body, bytes.len()),
-                    Verdict::Replayed => self.figures.refused.replayed += 1,
-                    Verdict::Challenge(nonce) => {
-                        self.figures.refused.unproven += 1;
+                match self.sessions.admit(now, boot, number, || rng.random()) {
+                    Admission::Accepted => self.handle_body(now, boot, from, body, bytes.len()),
+                    Admission::Replayed => self.counters.refused.replayed += 1,
+                    Admission::Challenge(nonce) => {
+                        self.counters.refused.unproven += 1;
                         self.send(now, from, Body::Challenge(nonce));
                     }
-                    Verdict::Wait => self.figures.refused.unproven += 1,
+                    Admission::ChallengePending => self.counters.refused.unproven += 1,
                 }
             }
         }
-        self.settle(now);
+        self.apply_effects(now);
     }
 
     /// The node takes jobs, or sends its clients away.
     pub fn phase(&mut self, now: Duration, draining: bool) {
-        let now = self.clock(now);
+        let now = self.local_time(now);
         let phase = if draining { Phase::Draining } else { Phase::Serving };
-        if self.standing == Standing::Left || self.foca.identity().phase == phase {
+        if self.participation == Participation::Left || self.foca.identity().phase == phase {
             return;
         }
         let own = self.foca.identity().clone();
@@ -466,35 +470,35 @@
 
     /// The node has answered all that it had and sends nothing more: it says so, once, and keeps silent.
     pub fn leave(&mut self, now: Duration) {
-        let now = self.clock(now);
-        if self.standing == Standing::In {
+        let now = self.local_time(now);
+        if self.participation == Participation::Active {
             let own = self.foca.identity().clone();
             let last = Identity { phase: Phase::Left, incarnation: own.incarnation + 1, ..own };
             self.become_identity(now, last);
-            self.standing = Standing::Left;
+            self.participation = Participation::Left;
             // Each is to three members: one lost datagram must not turn a leave into a crash.
-            let _ = self.foca.leave_cluster(&mut self.wishes);
-            let _ = self.foca.gossip(&mut self.wishes);
+            let _ = self.foca.leave_cluster(&mut self.effects);
+            let _ = self.foca.gossip(&mut self.effects);
         } else {
-            self.standing = Standing::Left;
+            self.participation = Participation::Left;
         }
-        self.settle(now);
+        self.apply_effects(now);
     }
 
     /// This process stood aside for another of its node, which has ended: it takes its place in the view again.
     pub fn resume(&mut self, now: Duration) {
-        let now = self.clock(now);
-        if self.standing != Standing::Left {
-            self.come_back(now, 0);
+        let now = self.local_time(now);
+        if self.participation != Participation::Left {
+            self.rejoin(now, 0);
         }
-        self.settle(now);
+        self.apply_effects(now);
     }
 
     /// Tells another node the rates of tenants here; one that is not there hears nothing.
-    pub fn tell(&mut self, now: Duration, to: &str, mut rates: Vec<(u64, u16)>) {
-        let now = self.clock(now);
-        let to = self.known.get(to).filter(|k| k.status.there()).map(|k| k.identity.address);
-        if let Some(to) = to.filter(|_| self.standing == Standing::In) {
+    pub fn send_rates(&mut self, now: Duration, to: &str, mut rates: Vec<(u64, u16)>) {
+        let now = self.local_time(now);
+        let to = self.known.get(to).filter(|k| k.status.is_present()).map(|k| k.identity.address);
+        if let Some(to) = to.filter(|_| self.participation == Participation::Active) {
             rates.truncate(RATES_MAX);
             self.send(now, to, Body::Rates(self.config.name.clone(), rates));
         }
@@ -502,16 +506,14 @@
 
     /// Brings a word of another subsystem to the node at this address, whatever the view holds of it. Nobody makes sure
     /// that it comes. Too long a one is not sent.
-    pub fn word(&mut self, now: Duration, to: SocketAddr, bytes: &[u8]) {
-        let now = self.clock(now);
-        if bytes.len() > WORD_MAX || matches!(self.standing, Standing::Left) {
+    pub fn send_message(&mut self, now: Duration, to: SocketAddr, bytes: &[u8]) {
+        let now = self.local_time(now);
+        if bytes.len() > MESSAGE_MAX || matches!(self.participation, Participation::Left) {
             return;
         }
-        self.word += 1;
-        let of = bytes.len().div_ceil(PIECE).max(1);
-        for index in 0..of {
-            let piece = bytes[index * PIECE..bytes.len().min((index + 1) * PIECE)].to_vec();
-            self.send(now, to, Body::Piece(self.word, index as u16, of as u16, piece));
+        self.message_number += 1;
+        for fragment in split(bytes) {
+            self.send(now, to, Body::Fragment(self.message_number, fragment));
         }
     }
 
@@ -519,46 +521,46 @@
     pub fn peers(&self) -> Vec<Peer> {
         let own = self.foca.identity();
         let serving = |id: &Identity| id.phase == Phase::Serving;
-        let there = self.known.values().filter(|k| k.status.there()).map(|k| &k.identity);
+        let there = self.known.values().filter(|k| k.status.is_present()).map(|k| &k.identity);
         let mut peers: Vec<Peer> = there.chain([own]).filter(|id| serving(id)).map(Peer::of).collect();
         peers.sort();
         peers
     }
 
     /// Counters.
-    pub fn figures(&self) -> Figures {
-        Figures { sessions: self.sessions.len() as u64, ..self.figures }
+    pub fn counters(&self) -> Counters {
+        Counters { sessions: self.sessions.len() as u64, ..self.counters }
     }
 
     /// A digest of who is held to be there, and in which life: two views with the same one are equal. `None` while this
     /// node itself is not in the view.
     pub fn digest(&self) -> Option<u64> {
-        (self.standing == Standing::In).then(|| self.digest_now())
+        (self.participation == Participation::Active).then(|| self.digest_now())
     }
 
     /// The view as of now.
     pub fn view(&self, now: Duration) -> View {
         let now = now.saturating_sub(self.skipped);
         let own = self.foca.identity();
-        let mut members: Vec<Line> = Vec::with_capacity(self.known.len() + 1);
+        let mut members: Vec<MemberInfo> = Vec::with_capacity(self.known.len() + 1);
         for m in self.foca.iter_membership_state() {
             let status = status(m);
             let since = self.known.get(&m.id().name).map_or(now, |k| k.since);
             members.push(line(m.id(), status, now.saturating_sub(since)));
         }
-        let mine = match (&self.standing, own.phase) {
-            (Standing::Left, _) => Status::Left,
-            (Standing::Undead, _) => Status::Dead,
-            (_, Phase::Draining) => Status::Draining,
-            _ => Status::Alive,
+        let mine = match (&self.participation, own.phase) {
+            (Participation::Left, _) => MemberStatus::Left,
+            (Participation::DeclaredDead, _) => MemberStatus::Dead,
+            (_, Phase::Draining) => MemberStatus::Draining,
+            _ => MemberStatus::Alive,
         };
         members.retain(|m| m.name != own.name);
-        if !matches!(self.standing, Standing::Yielded(_)) {
+        if !matches!(self.participation, Participation::Yielded(_)) {
             members.push(line(own, mine, Duration::ZERO));
         }
         members.sort_by(|a, b| a.name.cmp(&b.name));
-        let yielded_to = match &self.standing {
-            Standing::Yielded(rival) => Some(rival.address),
+        let yielded_to = match &self.participation {
+            Participation::Yielded(rival) => Some(rival.address),
             _ => None,
         };
         View {
@@ -572,12 +574,12 @@
     }
 
     /// What the decisions are told; `planned` is the number of nodes in the settings.
-    pub fn stand(&self, now: Duration, planned: u32) -> Stand {
+    pub fn fleet_size(&self, now: Duration, planned: u32) -> FleetSize {
         let now = now.saturating_sub(self.skipped);
-        let lines: Vec<Line> =
+        let members: Vec<MemberInfo> =
             self.known.values().map(|k| line(&k.identity, k.status, now.saturating_sub(k.since))).collect();
-        let joined = self.joined && !matches!(self.standing, Standing::Yielded(_));
-        Stand::of(&self.config.name, &Others { lines: &lines, joined }, planned)
+        let joined = self.joined && !matches!(self.participation, Participation::Yielded(_));
+        FleetSize::from_members(&self.config.name, &OtherMembers { members: &members, joined }, planned)
     }
 
     /// The number that another node has to return with its whole state.
@@ -586,38 +588,38 @@
     }
 
     /// This node's whole state, for the one at `to` that sent this number over a stream.
-    pub fn ask_state(&mut self, now: Duration, to: SocketAddr, challenge: u64) -> (Asked, Vec<u8>) {
-        let now = self.clock(now);
+    pub fn request_sync(&mut self, now: Duration, to: SocketAddr, challenge: u64) -> (PendingSync, Vec<u8>) {
+        let now = self.local_time(now);
         let nonce = self.rng.random();
-        (Asked { nonce }, self.state(now, to, challenge, nonce))
+        (PendingSync { nonce }, self.state(now, to, challenge, nonce))
     }
 
     /// Takes the whole state of the one that was sent this number in, and returns this node's own; `None` where it does
     /// not count.
-    pub fn answer_state(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<Vec<u8>> {
-        let now = self.clock(now);
+    pub fn answer_sync(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<Vec<u8>> {
+        let now = self.local_time(now);
         let (to, nonce) = self.take(now, challenge, bytes)?;
         let answer = self.state(now, to, nonce, 0);
-        self.settle(now);
+        self.apply_effects(now);
         Some(answer)
     }
 
     /// Takes the answer in; whether it counts.
-    pub fn take_state(&mut self, now: Duration, asked: Asked, bytes: &[u8]) -> bool {
-        let now = self.clock(now);
+    pub fn finish_sync(&mut self, now: Duration, asked: PendingSync, bytes: &[u8]) -> bool {
+        let now = self.local_time(now);
         let taken = self.take(now, asked.nonce, bytes).is_some();
-        self.settle(now);
+        self.apply_effects(now);
         taken
     }
 
     fn state(&self, now: Duration, to: SocketAddr, answers: u64, nonce: u64) -> Vec<u8> {
         let age = |m: &Member<Identity>| match self.known.get(&m.id().name) {
-            Some(k) if !k.status.there() => millis(now.saturating_sub(k.since)),
+            Some(k) if !k.status.is_present() => millis(now.saturating_sub(k.since)),
             _ => 0,
         };
         let members = self.foca.iter_membership_state().take(MEMBERS_MAX);
-        let me = (self.standing == Standing::In).then(|| self.foca.identity().clone());
-        let state = State {
+        let me = (self.participation == Participation::Active).then(|| self.foca.identity().clone());
+        let state = FullState {
             fleet: self.fleet,
             boot: self.boot,
             from: self.config.advertise,
@@ -627,11 +629,11 @@
             me,
             members: members.map(|m| (m.clone(), age(m))).collect(),
         };
-        pack(&self.config.keys, &state)
+        encode(&self.config.keys, &state)
     }
 
     fn take(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<(SocketAddr, u64)> {
-        let state: State = match unpack(&self.config.keys, bytes, FRAME_MAX) {
+        let state: FullState = match decode(&self.config.keys, bytes, FRAME_MAX) {
             Ok(state) => state,
             Err(bad) => {
                 self.refuse(bad);
@@ -639,19 +641,19 @@
             }
         };
         let sound = state.members.len() <= MEMBERS_MAX
-            && state.members.iter().all(|(m, _)| m.id().sound())
-            && state.me.as_ref().is_none_or(Identity::sound);
+            && state.members.iter().all(|(m, _)| m.id().is_valid())
+            && state.me.as_ref().is_none_or(Identity::is_valid);
         if state.fleet != self.fleet || state.to != self.config.advertise || state.boot == self.boot || !sound
         {
-            self.figures.refused.astray += 1;
+            self.counters.refused.astray += 1;
             return None;
         }
         if state.answers != challenge {
-            self.figures.refused.replayed += 1;
+            self.counters.refused.replayed += 1;
             return None;
         }
-        self.figures.states += 1;
-        if matches!(self.standing, Standing::Yielded(_) | Standing::Left) {
+        self.counters.states += 1;
+        if matches!(self.participation, Participation::Yielded(_) | Participation::Left) {
             return Some((state.from, state.nonce));
         }
         let own = self.config.name.clone();
@@ -665,13 +667,13 @@
                 }
                 self.ages.insert(m.id().name.clone(), age);
             } else if m.id().name == own {
-                self.sight(m.id().clone());
+                self.note_name_conflict(m.id().clone());
             }
             members.push(m);
         }
         if let Some(me) = state.me {
             if me.name == own {
-                self.sight(me);
+                self.note_name_conflict(me);
             } else {
                 members.push(Member::alive(me));
             }
@@ -681,19 +683,19 @@
         let news =
             |m: &Member<Identity>| m.state() != foca::State::Down || self.known.contains_key(&m.id().name);
         let (news, old): (Vec<_>, Vec<_>) = members.into_iter().partition(news);
-        let _ = self.foca.apply_many(news.into_iter(), true, &mut self.wishes);
-        let _ = self.foca.apply_many(old.into_iter(), false, &mut self.wishes);
-        self.wishes.unsure = true;
-        self.settle(now);
+        let _ = self.foca.apply_many(news.into_iter(), true, &mut self.effects);
+        let _ = self.foca.apply_many(old.into_iter(), false, &mut self.effects);
+        self.effects.rescan = true;
+        self.apply_effects(now);
         self.ages.clear();
         Some((state.from, state.nonce))
     }
 
     /// The machine's own time: the embedder's, less the time in which the process stood still.
-    fn clock(&mut self, now: Duration) -> Duration {
+    fn local_time(&mut self, now: Duration) -> Duration {
         let local = now.saturating_sub(self.skipped);
         if let Some((due, _)) = self.timers.keys().next() {
-            if local > *due + STALL {
+            if local > *due + STALL_MIN {
                 self.skipped += local - *due;
                 return *due;
             }
@@ -701,29 +703,30 @@
         local
     }
 
-    fn plan(&mut self, now: Duration, timer: Timer, after: Duration) {
+    fn schedule(&mut self, now: Duration, timer: Timer, after: Duration) {
         self.order += 1;
         self.timers.insert((now + after, self.order), timer);
     }
 
-    fn refuse(&mut self, bad: Bad) {
-        let r = &mut self.figures.refused;
+    fn refuse(&mut self, bad: DecodeError) {
+        let r = &mut self.counters.refused;
         *match bad {
-            Bad::Oversized => &mut r.oversized,
-            Bad::Version => &mut r.version,
-            Bad::Seal => &mut r.seal,
-            Bad::Malformed => &mut r.malformed,
+            DecodeError::Oversized => &mut r.oversized,
+            DecodeError::Version => &mut r.version,
+            DecodeError::Seal => &mut r.seal,
+            DecodeError::Malformed => &mut r.malformed,
         } += 1;
     }
 
     fn send(&mut self, now: Duration, to: SocketAddr, body: Body) {
         // A challenge is no message of its own, and its answer must not be one that was for somebody else.
         if !matches!(body, Body::Challenge(_) | Body::Proof(..)) {
-            self.kept.retain(|(at, then, _)| *at != to && now.saturating_sub(*then) < KEPT_FOR);
-            if self.kept.len() >= KEPT {
-                self.kept.pop_front();
+            self.unproven_sends
+                .retain(|(at, then, _)| *at != to && now.saturating_sub(*then) < RESEND_LIFETIME);
+            if self.unproven_sends.len() >= RESEND_MAX {
+                self.unproven_sends.pop_front();
             }
-            self.kept.push_back((to, now, body.clone()));
+            self.unproven_sends.push_back((to, now, body.clone()));
         }
         self.number += 1;
         let packet = Packet {
@@ -734,9 +737,9 @@
             number: self.number,
             body,
         };
-        let bytes = pack(&self.config.keys, &packet);
-        self.figures.sent += 1;
-        self.figures.sent_bytes += bytes.len() as u64;
+        let bytes = encode(&self.config.keys, &packet);
+        self.counters.sent += 1;
+        self.counters.sent_bytes += bytes.len() as u64;
         self.actions.push_back(Action::Send { to, bytes });
     }
 
@@ -745,243 +748,251 @@
         if now - self.proofs.0 >= Duration::from_secs(1) {
             self.proofs = (now, 0);
         }
-        if self.proofs.1 >= PROOFS {
+        if self.proofs.1 >= PROOFS_PER_SECOND {
             return;
         }
         self.proofs.1 += 1;
-        let last =
-            self.kept.iter().position(|(at, then, _)| *at == to && now.saturating_sub(*then) < KEPT_FOR);
-        let again = last.and_then(|i| self.kept.remove(i)).map(|(_, _, body)| Box::new(body));
+        let last = self
+            .unproven_sends
+            .iter()
+            .position(|(at, then, _)| *at == to && now.saturating_sub(*then) < RESEND_LIFETIME);
+        let again = last.and_then(|i| self.unproven_sends.remove(i)).map(|(_, _, body)| Box::new(body));
         self.send(now, to, Body::Proof(nonce, again));
     }
 
     /// A message that counts.
-    fn hear(&mut self, now: Duration, boot: u64, from: SocketAddr, body: Body, length: usize) {
-        self.figures.received += 1;
-        self.figures.received_bytes += length as u64;
-        if self.standing == Standing::Left {
+    fn handle_body(&mut self, now: Duration, boot: u64, from: SocketAddr, body: Body, length: usize) {
+        self.counters.received += 1;
+        self.counters.received_bytes += length as u64;
+        if self.participation == Participation::Left {
             return;
         }
         match body {
             Body::Gossip(digest, data) => self.gossip(now, boot, from, digest, &data),
-            Body::Ask => {
-                if self.standing == Standing::In {
+            Body::IdentityRequest => {
+                if self.participation == Participation::Active {
                     let own = self.foca.identity().clone();
-                    self.send(now, from, Body::Here(own));
+                    self.send(now, from, Body::IdentityResponse(own));
                 }
             }
-            Body::Here(id) if id.boot == boot && id.sound() => self.here(now, id),
-            Body::Rival(id) if id.sound() && id.name == self.config.name => self.sight(id),
+            Body::IdentityResponse(id) if id.boot == boot && id.is_valid() => {
+                self.handle_identity_response(now, id)
+            }
+            Body::NameConflict(id) if id.is_valid() && id.name == self.config.name => {
+                self.note_name_conflict(id)
+            }
             Body::Rates(name, rates) if rates.len() <= RATES_MAX => {
                 let known =
-                    self.known.get(&name).is_some_and(|k| k.identity.boot == boot && k.status.there());
+                    self.known.get(&name).is_some_and(|k| k.identity.boot == boot && k.status.is_present());
                 if known {
-                    self.figures.rates += 1;
+                    self.counters.rates += 1;
                     self.actions.push_back(Action::Rates { from: name, rates });
                 }
             }
-            Body::Piece(word, index, of, bytes) => {
-                if let Some(bytes) = self.words.piece(now, boot, word, index, of, bytes) {
-                    self.actions.push_back(Action::Word { from, bytes });
+            Body::Fragment(message, fragment) => {
+                if let Some(bytes) = self.reassembler.insert(now, boot, message, fragment) {
+                    self.actions.push_back(Action::Message { from, bytes });
                 }
             }
-            _ => self.figures.refused.malformed += 1,
+            _ => self.counters.refused.malformed += 1,
         }
     }
 
     fn gossip(&mut self, now: Duration, boot: u64, from: SocketAddr, digest: u64, data: &[u8]) {
-        if matches!(self.standing, Standing::Yielded(_)) {
+        if matches!(self.participation, Participation::Yielded(_)) {
             return;
         }
         // Guards against one process that speaks for another.
         let header = postcard::take_from_bytes::<foca::Header<Identity>>(data);
-        let Some(src) = header.ok().map(|(h, _)| h.src).filter(|s| s.boot == boot && s.sound()) else {
-            self.figures.refused.malformed += 1;
+        let Some(src) = header.ok().map(|(h, _)| h.src).filter(|s| s.boot == boot && s.is_valid()) else {
+            self.counters.refused.malformed += 1;
             return;
         };
         if src.name == self.config.name {
-            return self.sight(src);
+            return self.note_name_conflict(src);
         }
         if let Some(k) = self.known.get(&src.name) {
-            if k.identity.boot != boot && k.identity.beats(&src) {
+            if k.identity.boot != boot && k.identity.supersedes(&src) {
                 // Nothing else that it says counts: it may be one that stood still and hears no answers any more.
                 let rival = k.identity.clone();
-                return self.send(now, from, Body::Rival(rival));
+                return self.send(now, from, Body::NameConflict(rival));
             }
         }
         // An error is a message that could not be read; what it holds beyond that is refused whole.
-        if self.foca.handle_data(data, &mut self.wishes).is_err() {
-            self.figures.refused.malformed += 1;
+        if self.foca.handle_data(data, &mut self.effects).is_err() {
+            self.counters.refused.malformed += 1;
         }
-        self.compare(now, src.address, digest);
+        self.compare_digests(now, src.address, digest);
     }
 
     /// Guards against views that differ for good because the news of a change were lost.
-    fn compare(&mut self, now: Duration, with: SocketAddr, digest: u64) {
+    fn compare_digests(&mut self, now: Duration, with: SocketAddr, digest: u64) {
         if digest == self.digest_now() {
-            self.differs = None;
+            self.diverged_since = None;
             return;
         }
-        let since = *self.differs.get_or_insert(now);
-        if now - since >= DIFFER && now.saturating_sub(self.changed_at) >= DIFFER / 2 {
-            self.exchange(now, with);
+        let since = *self.diverged_since.get_or_insert(now);
+        if now - since >= DIVERGENCE_MAX && now.saturating_sub(self.changed_at) >= DIVERGENCE_MAX / 2 {
+            self.start_sync(now, with);
         }
     }
 
-    fn exchange(&mut self, now: Duration, to: SocketAddr) {
-        if now >= self.exchange_from && to != self.config.advertise {
-            self.exchange_from = now + EXCHANGE_GAP;
-            self.actions.push_back(Action::Exchange { to });
+    fn start_sync(&mut self, now: Duration, to: SocketAddr) {
+        if now >= self.next_sync_at && to != self.config.advertise {
+            self.next_sync_at = now + SYNC_INTERVAL;
+            self.actions.push_back(Action::SyncState { to });
         }
     }
 
     /// A seed, or one that was asked whether it is there, says who it is.
-    fn here(&mut self, now: Duration, id: Identity) {
-        if let Standing::Yielded(rival) = &self.standing {
+    fn handle_identity_response(&mut self, now: Duration, id: Identity) {
+        if let Participation::Yielded(rival) = &self.participation {
             if id.boot == rival.boot {
-                self.check = None; // asked anew with the next contact
+                self.rival_probe = None; // asked anew with the next contact
             }
             return;
         }
         if id.name == self.config.name {
-            if self.check.as_ref().is_some_and(|c| c.rival.boot == id.boot) {
+            if self.rival_probe.as_ref().is_some_and(|c| c.rival.boot == id.boot) {
                 self.yield_to(now, id);
             } else {
-                self.sight(id);
+                self.note_name_conflict(id);
             }
             return;
         }
-        if !self.known.get(&id.name).is_some_and(|k| k.status.there() && k.identity.boot == id.boot) {
+        if !self.known.get(&id.name).is_some_and(|k| k.status.is_present() && k.identity.boot == id.boot) {
             let to = id.address;
-            let _ = self.foca.announce(id, &mut self.wishes);
-            self.exchange(now, to);
+            let _ = self.foca.announce(id, &mut self.effects);
+            self.start_sync(now, to);
         }
     }
 
     /// Word of another process that has this node's name.
-    fn sight(&mut self, id: Identity) {
+    fn note_name_conflict(&mut self, id: Identity) {
         if id.name == self.config.name && id.boot != self.boot {
-            self.sightings.add(&id);
+            self.name_conflicts.add(&id);
         }
     }
 
     /// Whether the other process counts, and if so whether it is there, before anything is given up for it.
-    fn meet(&mut self, now: Duration, rival: Identity) {
-        if !matches!(self.standing, Standing::In | Standing::Undead) {
+    fn resolve_name_conflict(&mut self, now: Duration, rival: Identity) {
+        if !matches!(self.participation, Participation::Active | Participation::DeclaredDead) {
             return;
         }
-        if !rival.beats(self.foca.identity()) {
+        if !rival.supersedes(self.foca.identity()) {
             // Most often the word is old. If not, that one has to hear of us: from all others, and from here.
-            if rival.address != self.config.advertise && now - self.rival_told >= self.config.timing.contact {
-                self.rival_told = now;
+            if rival.address != self.config.advertise
+                && now - self.rival_notified >= self.config.timing.contact
+            {
+                self.rival_notified = now;
                 let own = self.foca.identity().clone();
-                self.send(now, rival.address, Body::Rival(own));
+                self.send(now, rival.address, Body::NameConflict(own));
             }
         } else if rival.address == self.config.advertise {
             // At our own address there is nobody but us: that one is from before, with a clock that went ahead.
-            self.come_back(now, rival.incarnation);
-        } else if self.check.as_ref().is_none_or(|c| c.rival.boot != rival.boot) {
-            self.actions.push_back(Action::Note(Note::Rival(rival.clone())));
-            self.send(now, rival.address, Body::Ask);
-            self.check = Some(Check { rival, asked: 1 });
+            self.rejoin(now, rival.incarnation);
+        } else if self.rival_probe.as_ref().is_none_or(|c| c.rival.boot != rival.boot) {
+            self.actions.push_back(Action::Event(MembershipEvent::NameConflict(rival.clone())));
+            self.send(now, rival.address, Body::IdentityRequest);
+            self.rival_probe = Some(RivalProbe { rival, asked: 1 });
         }
     }
 
     fn yield_to(&mut self, now: Duration, rival: Identity) {
-        self.check = None;
-        self.actions.push_back(Action::Note(Note::Yielded(rival.clone())));
-        let _ = self.foca.leave_cluster(&mut self.wishes);
-        self.standing = Standing::Yielded(rival);
-        self.settle(now);
+        self.rival_probe = None;
+        self.actions.push_back(Action::Event(MembershipEvent::Yielded(rival.clone())));
+        let _ = self.foca.leave_cluster(&mut self.effects);
+        self.participation = Participation::Yielded(rival);
+        self.apply_effects(now);
     }
 
     /// Takes the name (again) under an incarnation higher than all that were heard of.
-    fn come_back(&mut self, now: Duration, above: u64) {
+    fn rejoin(&mut self, now: Duration, above: u64) {
         let own = self.foca.identity().clone();
         let incarnation = own.incarnation.max(above) + 1;
-        self.standing = Standing::In;
-        self.check = None;
-        self.figures.returns += 1;
-        self.actions.push_back(Action::Note(Note::Returned(incarnation)));
+        self.participation = Participation::Active;
+        self.rival_probe = None;
+        self.counters.returns += 1;
+        self.actions.push_back(Action::Event(MembershipEvent::Returned(incarnation)));
         self.become_identity(now, Identity { incarnation, ..own });
     }
 
     fn become_identity(&mut self, now: Duration, id: Identity) {
-        let _ = self.foca.change_identity(id, &mut self.wishes);
+        let _ = self.foca.change_identity(id, &mut self.effects);
         // Tells it that it has members: it starts its timers anew.
-        let _ = self.foca.apply_many(std::iter::empty(), true, &mut self.wishes);
-        self.wishes.unsure = true;
-        self.wishes.defunct = false;
-        self.settle(now);
+        let _ = self.foca.apply_many(std::iter::empty(), true, &mut self.effects);
+        self.effects.rescan = true;
+        self.effects.defunct = false;
+        self.apply_effects(now);
     }
 
     /// Now and then: a call at a member held dead, at a seed that is not in the view, at a rival.
-    fn contact(&mut self, now: Duration) {
+    fn contact_missing(&mut self, now: Duration) {
         let spread = 0.8 + 0.4 * self.rng.random::<f64>();
-        self.plan(now, Timer::Contact, self.config.timing.contact.mul_f64(spread));
-        if let Standing::Yielded(rival) = &self.standing {
+        self.schedule(now, Timer::Contact, self.config.timing.contact.mul_f64(spread));
+        if let Participation::Yielded(rival) = &self.participation {
             let rival = rival.clone();
-            let asked = self.check.as_ref().map_or(0, |c| c.asked) + 1;
-            if asked > RIVAL_ASKED {
-                return self.come_back(now, rival.incarnation);
+            let asked = self.rival_probe.as_ref().map_or(0, |c| c.asked) + 1;
+            if asked > RIVAL_PROBES {
+                return self.rejoin(now, rival.incarnation);
             }
-            self.send(now, rival.address, Body::Ask);
-            self.check = Some(Check { rival, asked });
+            self.send(now, rival.address, Body::IdentityRequest);
+            self.rival_probe = Some(RivalProbe { rival, asked });
             return;
         }
-        if let Some(check) = &mut self.check {
+        if let Some(check) = &mut self.rival_probe {
             check.asked += 1;
             let (rival, asked) = (check.rival.clone(), check.asked);
-            if asked > RIVAL_ASKED {
-                return self.come_back(now, rival.incarnation);
+            if asked > RIVAL_PROBES {
+                return self.rejoin(now, rival.incarnation);
             }
-            self.send(now, rival.address, Body::Ask);
+            self.send(now, rival.address, Body::IdentityRequest);
         }
-        if self.standing != Standing::In {
+        if self.participation != Participation::Active {
             return;
         }
         let own = self.config.advertise;
         let dead: Vec<&Identity> = self
             .known
             .values()
-            .filter(|k| k.status == Status::Dead && k.identity.address != own)
+            .filter(|k| k.status == MemberStatus::Dead && k.identity.address != own)
             .map(|k| &k.identity)
             .collect();
         if !dead.is_empty() {
             let id = dead[self.rng.random_range(0..dead.len())].clone();
-            let _ = self.foca.announce(id, &mut self.wishes);
+            let _ = self.foca.announce(id, &mut self.effects);
         }
         let there =
-            |at: &SocketAddr| self.known.values().any(|k| k.identity.address == *at && k.status.there());
+            |at: &SocketAddr| self.known.values().any(|k| k.identity.address == *at && k.status.is_present());
         let seeds: Vec<SocketAddr> =
             self.config.seeds.iter().copied().filter(|at| *at != own && !there(at)).collect();
         if !seeds.is_empty() {
             let to = seeds[self.rng.random_range(0..seeds.len())];
-            self.send(now, to, Body::Ask);
+            self.send(now, to, Body::IdentityRequest);
         }
     }
 
     /// Carries out what `foca` wants and looks at what has changed.
-    fn settle(&mut self, now: Duration) {
+    fn apply_effects(&mut self, now: Duration) {
         loop {
-            if let Some(rival) = self.sightings.take() {
-                self.meet(now, rival);
+            if let Some(rival) = self.name_conflicts.take() {
+                self.resolve_name_conflict(now, rival);
             }
-            if std::mem::take(&mut self.wishes.defunct) && self.standing == Standing::In {
-                self.standing = Standing::Undead;
+            if std::mem::take(&mut self.effects.defunct) && self.participation == Participation::Active {
+                self.participation = Participation::DeclaredDead;
                 let wait = self.config.timing.answer;
-                self.plan(now, Timer::Return, wait);
+                self.schedule(now, Timer::Rejoin, wait);
             }
-            for (timer, after) in std::mem::take(&mut self.wishes.timers) {
+            for (timer, after) in std::mem::take(&mut self.effects.timers) {
                 let after = match &timer {
                     foca::Timer::RemoveDown(id) => {
                         after.saturating_sub(self.ages.get(&id.name).copied().unwrap_or_default())
                     }
                     _ => after,
                 };
-                self.plan(now, Timer::Foca(timer), after);
+                self.schedule(now, Timer::Foca(timer), after);
             }
-            while let Some((to, data)) = self.wishes.sends.pop_front() {
+            while let Some((to, data)) = self.effects.sends.pop_front() {
                 // What goes to another process of this name, or to the life of one that is over, is no use.
                 if to.address != self.config.advertise {
                     let body = Body::Gossip(self.digest_now(), data);
@@ -990,8 +1001,8 @@
             }
             // It says nothing of those that it first hears of as dead.
             let known = self.known.len() + self.unlisted;
-            self.wishes.unsure |= self.foca.iter_membership_state().len() != known;
-            if self.wishes.changed.is_empty() && !self.wishes.unsure {
+            self.effects.rescan |= self.foca.iter_membership_state().len() != known;
+            if self.effects.changed.is_empty() && !self.effects.rescan {
                 return;
             }
             self.refresh(now);
@@ -1001,27 +1012,27 @@
     /// Notes what the view holds now beside what it held: of those that changed, or of all where it can't tell which.
     /// Guards a large fleet, in which somebody changes all the time, against a look at everybody at each change.
     fn refresh(&mut self, now: Duration) {
-        for (id, there) in std::mem::take(&mut self.wishes.changed) {
-            let before = || self.known.get(&id.name).is_some_and(|k| k.status.there());
+        for (id, there) in std::mem::take(&mut self.effects.changed) {
+            let before = || self.known.get(&id.name).is_some_and(|k| k.status.is_present());
             let status = match (id.phase, there.unwrap_or_else(before)) {
-                (Phase::Left, _) => Status::Left,
-                (_, false) => Status::Dead,
-                (Phase::Draining, true) => Status::Draining,
-                (Phase::Serving, true) => Status::Alive,
+                (Phase::Left, _) => MemberStatus::Left,
+                (_, false) => MemberStatus::Dead,
+                (Phase::Draining, true) => MemberStatus::Draining,
+                (Phase::Serving, true) => MemberStatus::Alive,
             };
-            self.note(now, id, status);
+            self.record_status(now, id, status);
         }
-        if std::mem::take(&mut self.wishes.unsure) {
-            self.look_at_all(now);
+        if std::mem::take(&mut self.effects.rescan) {
+            self.rescan_members(now);
         }
-        let members = self.there + 1;
-        if tellings(members) != tellings(self.set_up_for) {
-            self.set_up_for = members;
+        let members = self.present + 1;
+        if transmissions(members) != transmissions(self.configured_members) {
+            self.configured_members = members;
             let _ = self.foca.set_config(swim(&self.config.timing, members));
         }
     }
 
-    fn look_at_all(&mut self, now: Duration) {
+    fn rescan_members(&mut self, now: Duration) {
         let (mut changed, mut met) = (Vec::new(), 0);
         let own = &self.config.name;
         let all = self.foca.iter_membership_state();
@@ -1029,7 +1040,7 @@
         for m in all.filter(|m| m.id().name != *own) {
             met += 1;
             let now_is = match status(m) {
-                Status::Suspect => Status::Alive,
+                MemberStatus::Suspect => MemberStatus::Alive,
                 status => status,
             };
             let known = self.known.get(&m.id().name);
@@ -1038,61 +1049,61 @@
             }
         }
         self.unlisted = held - met;
-        changed.into_iter().for_each(|(id, status)| self.note(now, id, status));
+        changed.into_iter().for_each(|(id, status)| self.record_status(now, id, status));
         if met == self.known.len() {
             return;
         }
         let names: HashSet<&str> = self.foca.iter_membership_state().map(|m| m.id().name.as_str()).collect();
         let gone = self.known.keys().filter(|name| !names.contains(name.as_str()));
         for name in gone.cloned().collect::<Vec<_>>() {
-            if let Some(k) = self.known.remove(&name).filter(|k| k.status.there()) {
-                self.count_out(&k.identity);
+            if let Some(k) = self.known.remove(&name).filter(|k| k.status.is_present()) {
+                self.remove_present(&k.identity);
             }
             self.changed_at = now;
-            self.actions.push_back(Action::Note(Note::Forgotten(name)));
+            self.actions.push_back(Action::Event(MembershipEvent::Forgotten(name)));
         }
     }
 
-    fn note(&mut self, now: Duration, id: Identity, status: Status) {
-        let same = |k: &Known| k.identity == id && k.status == status;
+    fn record_status(&mut self, now: Duration, id: Identity, status: MemberStatus) {
+        let same = |k: &KnownMember| k.identity == id && k.status == status;
         if id.name == self.config.name || self.known.get(&id.name).is_some_and(same) {
             return;
         }
         self.changed_at = now;
-        self.joined |= status.there();
+        self.joined |= status.is_present();
         let age = self.ages.get(&id.name).copied().unwrap_or_default();
-        let since = if status.there() { now } else { now.saturating_sub(age) };
+        let since = if status.is_present() { now } else { now.saturating_sub(age) };
         let before = self.known.get(&id.name).map(|k| (k.status, k.since));
         // A new life of one that is there is no change to those that count it.
-        let since = before.filter(|(s, _)| *s == status && s.there()).map_or(since, |(_, since)| since);
+        let since = before.filter(|(s, _)| *s == status && s.is_present()).map_or(since, |(_, since)| since);
         let was = before.map(|(s, _)| s);
         let note = match status {
-            Status::Dead if was != Some(status) => {
-                self.figures.deaths += 1;
-                Some(Note::Down(id.clone()))
+            MemberStatus::Dead if was != Some(status) => {
+                self.counters.deaths += 1;
+                Some(MembershipEvent::Down(id.clone()))
             }
-            Status::Left if was != Some(status) => Some(Note::Left(id.clone())),
-            Status::Dead | Status::Left => None,
-            _ => Some(Note::Up(id.clone())),
+            MemberStatus::Left if was != Some(status) => Some(MembershipEvent::Left(id.clone())),
+            MemberStatus::Dead | MemberStatus::Left => None,
+            _ => Some(MembershipEvent::Up(id.clone())),
         };
-        self.actions.extend(note.map(Action::Note));
-        if status.there() {
-            self.there += 1;
-            self.lives = self.lives.wrapping_add(life(&id));
+        self.actions.extend(note.map(Action::Event));
+        if status.is_present() {
+            self.present += 1;
+            self.digest_sum = self.digest_sum.wrapping_add(life(&id));
         }
-        let old = self.known.insert(id.name.clone(), Known { identity: id, status, since });
-        if let Some(old) = old.filter(|k| k.status.there()) {
-            self.count_out(&old.identity);
+        let old = self.known.insert(id.name.clone(), KnownMember { identity: id, status, since });
+        if let Some(old) = old.filter(|k| k.status.is_present()) {
+            self.remove_present(&old.identity);
         }
     }
 
-    fn count_out(&mut self, id: &Identity) {
-        self.there -= 1;
-        self.lives = self.lives.wrapping_sub(life(id));
+    fn remove_present(&mut self, id: &Identity) {
+        self.present -= 1;
+        self.digest_sum = self.digest_sum.wrapping_sub(life(id));
     }
 
     fn digest_now(&self) -> u64 {
-        self.lives.wrapping_add(life(self.foca.identity()))
+        self.digest_sum.wrapping_add(life(self.foca.identity()))
     }
 }
 
@@ -1103,18 +1114,18 @@
     x ^ x >> 29
 }
 
-fn status(m: &Member<Identity>) -> Status {
+fn status(m: &Member<Identity>) -> MemberStatus {
     match (m.state(), m.id().phase) {
-        (_, Phase::Left) => Status::Left,
-        (foca::State::Down, _) => Status::Dead,
-        (_, Phase::Draining) => Status::Draining,
-        (foca::State::Alive, _) => Status::Alive,
-        (foca::State::Suspect, _) => Status::Suspect,
+        (_, Phase::Left) => MemberStatus::Left,
+        (foca::State::Down, _) => MemberStatus::Dead,
+        (_, Phase::Draining) => MemberStatus::Draining,
+        (foca::State::Alive, _) => MemberStatus::Alive,
+        (foca::State::Suspect, _) => MemberStatus::Suspect,
     }
 }
 
-fn line(id: &Identity, status: Status, age: Duration) -> Line {
-    Line {
+fn line(id: &Identity, status: MemberStatus, age: Duration) -> MemberInfo {
+    MemberInfo {
         name: id.name.clone(),
         zone: id.zone.clone(),
         address: id.address,
@@ -1149,7 +1160,7 @@
                     timing: Timing::default(),
                 };
                 let seed = 10 + i as u64;
-                Machine::new(config, Birth { boot: seed, unix_ms: 1, seed }, Duration::ZERO)
+                Machine::new(config, ProcessStart { boot: seed, unix_ms: 1, seed }, Duration::ZERO)
             };
             let mut ring = Ring((0..nodes).map(machine).collect(), Duration::ZERO, 0);
             ring.pass(Duration::from_secs(10));
@@ -1170,7 +1181,7 @@
                                 let to = (to.port() - 1000) as usize;
                                 self.0[to].datagram(self.1, &bytes);
                             }
-                            Action::Exchange { .. } => self.2 += 1,
+                            Action::SyncState { .. } => self.2 += 1,
                             _ => {}
                         }
                     }
@@ -1179,7 +1190,7 @@
         }
 
         fn holds(&self, viewer: usize, of: usize) -> bool {
-            self.0[viewer].view(self.1).there().any(|n| n == format!("n{of}"))
+            self.0[viewer].view(self.1).present_names().any(|n| n == format!("n{of}"))
         }
     }
 
@@ -1192,13 +1203,13 @@
             let victim = ring.0[3].foca.identity().clone();
             let liar = &mut ring.0[1];
             let lie = std::iter::once(Member::down(victim));
-            let _ = liar.foca.apply_many(lie, true, &mut liar.wishes);
-            liar.settle(ring.1);
+            let _ = liar.foca.apply_many(lie, true, &mut liar.effects);
+            liar.apply_effects(ring.1);
             ring.pass(Duration::from_secs(3));
             assert!((0..5).all(|viewer| ring.holds(viewer, 3)));
         }
         assert!(ring.0[3].view(ring.1).incarnation >= before + 5, "each lie costs it a life");
-        assert!(ring.0[3].figures().returns >= 5);
+        assert!(ring.0[3].counters().returns >= 5);
     }
 
     /// Guards against the datagrams of a process, or to it, that are played back later: in its own time each counts
@@ -1207,27 +1218,27 @@
     fn what_is_played_back_counts_for_nothing() {
         let mut ring = Ring::new(3);
         let now = ring.1;
-        ring.0[0].send(now, at(1), Body::Ask);
+        ring.0[0].send(now, at(1), Body::IdentityRequest);
         let Some(Action::Send { bytes, .. }) = ring.0[0].action() else { panic!("a datagram") };
-        let figures = |ring: &Ring, i: usize| ring.0[i].figures();
-        let before = figures(&ring, 1);
+        let counters = |ring: &Ring, i: usize| ring.0[i].counters();
+        let before = counters(&ring, 1);
         (0..3).for_each(|_| ring.0[1].datagram(now, &bytes));
-        let after = figures(&ring, 1);
+        let after = counters(&ring, 1);
         assert_eq!(
             (after.received - before.received, after.refused.replayed - before.refused.replayed),
             (1, 2)
         );
-        let before = figures(&ring, 2).refused.astray;
+        let before = counters(&ring, 2).refused.astray;
         ring.0[2].datagram(now, &bytes);
-        assert_eq!(figures(&ring, 2).refused.astray, before + 1);
+        assert_eq!(counters(&ring, 2).refused.astray, before + 1);
         // A new process at the same address knows nothing of what came before it.
         let mut fresh = Ring::new(3).0.remove(1);
         fresh.boot = 99;
         fresh.sessions = Sessions::default();
-        let before = fresh.figures();
+        let before = fresh.counters();
         fresh.datagram(now, &bytes);
-        assert_eq!(fresh.figures().received, before.received);
-        assert_eq!(fresh.figures().refused.unproven, before.refused.unproven + 1);
+        assert_eq!(fresh.counters().received, before.received);
+        assert_eq!(fresh.counters().refused.unproven, before.refused.unproven + 1);
     }
 
     /// Guards a member against one with the key that speaks in its name.
@@ -1236,9 +1247,9 @@
         let mut ring = Ring::new(3);
         let now = ring.1;
         let other = &mut ring.0[2];
-        let _ = other.foca.gossip(&mut other.wishes);
-        let (_, data) = ring.0[2].wishes.sends.pop_front().expect("a message");
-        let before = ring.0[0].figures().refused.malformed;
+        let _ = other.foca.gossip(&mut other.effects);
+        let (_, data) = ring.0[2].effects.sends.pop_front().expect("a message");
+        let before = ring.0[0].counters().refused.malformed;
         ring.0[1].send(now, at(0), Body::Gossip(0, data));
         while let Some(action) = ring.0[1].action() {
             if let Action::Send { to, bytes } = action {
@@ -1246,7 +1257,7 @@
                 ring.0[0].datagram(now, &bytes);
             }
         }
-        assert_eq!(ring.0[0].figures().refused.malformed, before + 1);
+        assert_eq!(ring.0[0].counters().refused.malformed, before + 1);
     }
 
     /// Guards against views that differ for good where the news of a change were lost.
@@ -1256,7 +1267,7 @@
         let asked = ring.2;
         ring.pass(Duration::from_secs(10));
         assert_eq!(ring.2, asked, "equal views are not");
-        ring.0[0].lives ^= 1;
+        ring.0[0].digest_sum ^= 1;
         ring.pass(Duration::from_secs(10));
         assert!(ring.2 > asked);
     }
@@ -1267,12 +1278,12 @@
         let mut ring = Ring::new(2);
         let now = ring.1;
         ring.0[0].fleet += 1;
-        ring.0[0].send(now, at(1), Body::Ask);
+        ring.0[0].send(now, at(1), Body::IdentityRequest);
         let Some(Action::Send { mut bytes, .. }) = ring.0[0].action() else { panic!("a datagram") };
         ring.0[1].datagram(now, &bytes);
         bytes[2] += 1;
         ring.0[1].datagram(now, &bytes);
-        let refused = ring.0[1].figures().refused;
+        let refused = ring.0[1].counters().refused;
         assert_eq!((refused.astray, refused.version), (1, 1));
     }
 }
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -1,51 +1,51 @@
-//! Who a member is, and how a view tells of it.
+//! Members of the fleet: identity, phase and status, and the view that lists them.
 
 use crate::packet::hash;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The longest name of a node, zone or fleet, in bytes. Bounds every message.
+/// Longest name of a node, zone or fleet, in bytes. Bounds the size of every message.
 pub const NAME_MAX: usize = 64;
 
-/// What a member does with new jobs, as it says itself.
+/// Phase of a member, as it announces it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// It takes jobs.
     Serving,
-    /// It sends its clients away, and may still have jobs.
+    /// It directs its clients elsewhere, and may still run jobs.
     Draining,
-    /// It has answered all that it had and sends nothing more.
+    /// It has answered all of its jobs and sends nothing more.
     Left,
 }
 
-/// One life of a member. A restart, a return from the dead and a new phase are each a new one, with a higher
-/// incarnation; of two with one name the higher one counts.
+/// Identity of a member in one incarnation. A restart, a return after being held dead and a change of phase each take a
+/// new, higher incarnation; of two identities with one name the higher one prevails.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(from = "Written")]
+#[serde(from = "IdentityFields")]
 pub struct Identity {
-    /// Its name, which stays the same over restarts.
+    /// Name of the node; unchanged by restarts.
     pub name: String,
-    /// Its zone; empty where there are none.
+    /// Zone; empty if the installation has none.
     pub zone: String,
-    /// Where others reach it.
+    /// Address at which other nodes reach it.
     pub address: SocketAddr,
-    /// The process: drawn anew at each start.
+    /// Process number, drawn at random at each start.
     pub boot: u64,
-    /// Which life of the name; only grows. The first one of a process is its start in Unix time, in milliseconds.
+    /// Incarnation number of the name; only grows. A process begins with its start in Unix time, in milliseconds.
     pub incarnation: u64,
-    /// What it does with new jobs.
+    /// Phase.
     pub phase: Phase,
-    /// A hash of the name: it is compared with every other member's at every word on a member, and a thousand hashes for
-    /// each were a third of a large fleet's work.
+    /// Hash of the name, kept because each update on a member compares it with every other member's: hashing anew took a
+    /// third of the processor time of a large fleet.
     #[serde(skip)]
     pub(crate) hash: u64,
 }
 
-/// An identity as messages hold it.
+/// Serialized form of an [`Identity`].
 #[derive(Deserialize)]
-struct Written {
+struct IdentityFields {
     name: String,
     zone: String,
     address: SocketAddr,
@@ -54,22 +54,22 @@
     phase: Phase,
 }
 
-impl From<Written> for Identity {
-    fn from(w: Written) -> Identity {
-        let hash = hash(&w.name);
-        let Written { name, zone, address, boot, incarnation, phase } = w;
+impl From<IdentityFields> for Identity {
+    fn from(fields: IdentityFields) -> Identity {
+        let IdentityFields { name, zone, address, boot, incarnation, phase } = fields;
+        let hash = hash(&name);
         Identity { name, zone, address, boot, incarnation, phase, hash }
     }
 }
 
 impl Identity {
-    /// Whether this one counts where both claim a name. The boot decides between equals, the same way everywhere.
-    pub fn beats(&self, other: &Identity) -> bool {
+    /// Whether this identity prevails over another of the same name. The process number breaks ties, alike at all nodes.
+    pub fn supersedes(&self, other: &Identity) -> bool {
         (self.incarnation, self.boot) > (other.incarnation, other.boot)
     }
 
-    /// Whether a message may carry it.
-    pub fn sound(&self) -> bool {
+    /// Whether its names are within the allowed lengths.
+    pub fn is_valid(&self) -> bool {
         !self.name.is_empty() && self.name.len() <= NAME_MAX && self.zone.len() <= NAME_MAX
     }
 }
@@ -77,7 +77,7 @@
 impl foca::Identity for Identity {
     type Addr = u64;
 
-    /// None by itself: whether this process comes back, or yields to another of its name, is the machine's to say.
+    /// Never renews by itself: the machine decides whether this process rejoins or yields to another of its name.
     fn renew(&self) -> Option<Self> {
         None
     }
@@ -87,62 +87,62 @@
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
-        self.beats(adversary)
+        self.supersedes(adversary)
     }
 }
 
-/// What a view holds of a member.
+/// Status of a member in a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Status {
-    /// It is there and takes jobs.
+pub enum MemberStatus {
+    /// It is present and takes jobs.
     Alive,
-    /// It gave no answer; it may still refute that.
+    /// It did not answer a probe; it may still refute the suspicion.
     Suspect,
-    /// It is there and sends its clients away.
+    /// It is present and directs its clients elsewhere.
     Draining,
     /// It left on purpose.
     Left,
-    /// It is held dead. It may be cut off and still at work.
+    /// It is held dead. It may be partitioned from this node and still run jobs.
     Dead,
 }
 
-impl Status {
-    /// Whether the member is held to be there.
-    pub fn there(self) -> bool {
-        matches!(self, Status::Alive | Status::Suspect | Status::Draining)
+impl MemberStatus {
+    /// Whether the member is held to be running.
+    pub fn is_present(self) -> bool {
+        matches!(self, MemberStatus::Alive | MemberStatus::Suspect | MemberStatus::Draining)
     }
 }
 
-/// A member as a view shows it.
+/// Entry of a view on one member.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Line {
-    /// Its name.
+pub struct MemberInfo {
+    /// Name.
     pub name: String,
-    /// Its zone.
+    /// Zone.
     pub zone: String,
-    /// Where it is reached.
+    /// Address at which it is reached.
     pub address: SocketAddr,
-    /// Its incarnation.
+    /// Incarnation number.
     pub incarnation: u64,
-    /// Its process.
+    /// Process number.
     pub boot: u64,
-    /// What it is held to be.
-    pub status: Status,
-    /// For how long, in milliseconds.
+    /// Status.
+    pub status: MemberStatus,
+    /// Time in this status, in milliseconds.
     pub for_ms: u64,
 }
 
-/// A member that takes jobs, and how it is reached.
+/// A member that takes jobs.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Peer {
-    /// Its name.
+    /// Name.
     pub name: String,
-    /// Its zone.
+    /// Zone.
     pub zone: String,
-    /// Where it is reached.
+    /// Address at which it is reached.
     pub address: SocketAddr,
-    /// Its process.
+    /// Process number.
     pub boot: u64,
 }
 
@@ -155,28 +155,28 @@
 /// One node's view of the fleet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct View {
-    /// The fleet's name.
+    /// Name of the fleet.
     pub fleet: String,
-    /// The node that tells it.
+    /// Name of the node whose view it is.
     pub node: String,
-    /// Its own incarnation.
+    /// Incarnation of that node.
     pub incarnation: u64,
-    /// The process of this name that it yielded to, if it did: then its view stands still.
+    /// Address of the process of the same name that it yielded to, if it did; the view is frozen then.
     pub yielded_to: Option<SocketAddr>,
     /// Whether it has ever heard of another node.
     pub joined: bool,
-    /// All members, itself included, by name.
-    pub members: Vec<Line>,
+    /// All members, the node included, by name.
+    pub members: Vec<MemberInfo>,
 }
 
 impl View {
-    /// The names of those that are held to be there, in order.
-    pub fn there(&self) -> impl Iterator<Item = &str> {
-        self.members.iter().filter(|m| m.status.there()).map(|m| m.name.as_str())
+    /// Names of the members held to be running, in order.
+    pub fn present_names(&self) -> impl Iterator<Item = &str> {
+        self.members.iter().filter(|m| m.status.is_present()).map(|m| m.name.as_str())
     }
 }
 
-/// Milliseconds of a span, as views tell them.
-pub(crate) fn millis(span: Duration) -> u64 {
-    span.as_millis() as u64
+/// A duration in milliseconds, as views and states carry it.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
 }
--- a/fleet/src/packet.rs
+++ b/fleet/src/packet.rs
@@ -1,101 +1,106 @@
-//! What one datagram holds: a version, who sends it to whom as its which one, and what it says.
+//! Datagram format: a version, sender and receiver, a packet number and a body, authenticated with a shared key.
 
+use crate::fragments::Fragment;
 use crate::keys::{Keys, TAG};
 use crate::member::Identity;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// The longest datagram, in bytes: it fits one frame of any usual network.
+/// Longest datagram, in bytes: fits one frame of common networks.
 pub const DATAGRAM_MAX: usize = 1400;
-/// What `foca` may fill: the rest is for the frame round it.
+/// Longest `foca` message, in bytes: leaves room for the envelope.
 pub(crate) const GOSSIP_MAX: usize = DATAGRAM_MAX - 160;
-/// The version of this format. A datagram of another one is refused and counted; a new format keeps this place.
+/// Version of the format. A datagram of another version is rejected and counted; a new format keeps this position.
 pub(crate) const VERSION: u8 = 1;
-/// The first bytes of every datagram and frame.
+/// First bytes of every datagram and frame.
 const MAGIC: [u8; 2] = *b"mv";
-/// The bytes of one piece of a word.
-pub(crate) const PIECE: usize = 1200;
-/// The longest word of another subsystem, in bytes.
-pub const WORD_MAX: usize = 64 * 1024;
-/// The rates of tenants in one message at most.
+/// Most tenant rates in one datagram.
 pub const RATES_MAX: usize = 90;
 
-/// A datagram's content.
+/// Content of a datagram.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Packet {
-    /// Guards against another fleet with the same key by mistake: a hash of its name.
+    /// Hash of the fleet's name. Guards against another fleet that was given the same key by mistake.
     pub fleet: u64,
-    /// The process that sends it.
+    /// Sending process.
     pub boot: u64,
-    /// Where that one is reached.
+    /// Address at which the sender is reached.
     pub from: SocketAddr,
-    /// For whom it is. Guards against datagrams that are played back to another node.
+    /// Address of the receiver. Guards against datagrams that are replayed to another node.
     pub to: SocketAddr,
-    /// Which one of those that this process sends; only grows.
+    /// Packet number of the sending process; only grows.
     pub number: u64,
-    /// What it says.
+    /// Body.
     pub body: Body,
 }
 
-/// What a datagram says.
+/// Body of a datagram. The order of the variants is part of the format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Body {
-    /// 'Show that your datagrams are new': asked of a process that has no session here.
+    /// Challenge to a process that has no session here, with a nonce to return.
     Challenge(u64),
-    /// The answer, with the number asked for, and the last message, which did not count before that.
+    /// Response to a challenge: the nonce, and the last body sent, which was not accepted before.
     Proof(u64, Option<Box<Body>>),
-    /// SWIM, as `foca` writes it, with a digest of the sender's view.
+    /// Digest of the sender's view, and a SWIM message as `foca` encodes it.
     Gossip(u64, Vec<u8>),
-    /// 'Who are you?': asked of addresses that are known and names that are not.
-    Ask,
-    /// The answer.
-    Here(Identity),
-    /// 'Another one has your name.'
-    Rival(Identity),
-    /// Rates of tenants, by a hash of their names, in 64ths of a job a second.
+    /// Request for the identity of the process at an address.
+    IdentityRequest,
+    /// Response to an identity request.
+    IdentityResponse(Identity),
+    /// Notification that another process has the name of the receiver.
+    NameConflict(Identity),
+    /// Name of the sender, and rates of tenants by the hash of their names, in 1/64 of a job per second.
     Rates(String, Vec<(u64, u16)>),
-    /// A piece of a word of another subsystem: which word of this process, which piece of how many.
-    Piece(u64, u16, u16, Vec<u8>),
+    /// Message number of the sending process, and a fragment of that message of another subsystem.
+    Fragment(u64, Fragment),
 }
 
-/// Why bytes were refused.
+/// Reason for which bytes were rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Bad {
+pub(crate) enum DecodeError {
+    /// Longer than allowed.
     Oversized,
+    /// Of another version of the format.
     Version,
+    /// Not authenticated with one of the keys.
     Seal,
+    /// Not a message of this format.
     Malformed,
 }
 
-/// Bytes on the wire, sealed.
-pub(crate) fn pack<T: Serialize>(keys: &Keys, what: &T) -> Vec<u8> {
+/// Encodes and authenticates a message.
+pub(crate) fn encode<T: Serialize>(keys: &Keys, message: &T) -> Vec<u8> {
     let start = vec![MAGIC[0], MAGIC[1], VERSION];
-    // Fails for types that can't be written at all, and none of ours is one.
-    let mut bytes = postcard::to_extend(what, start).unwrap_or_default();
+    // Fails only for types that can't be serialized at all.
+    let mut bytes = postcard::to_extend(message, start).unwrap_or_default();
     keys.seal(&mut bytes);
     bytes
 }
 
-/// What these bytes say, if one of the keys sealed them. Cheap reasons to refuse come first.
-pub(crate) fn unpack<T: for<'a> Deserialize<'a>>(keys: &Keys, bytes: &[u8], most: usize) -> Result<T, Bad> {
-    if bytes.len() > most {
-        return Err(Bad::Oversized);
+/// Verifies and decodes a message of at most `max` bytes. Checks the cheap reasons for rejection first.
+pub(crate) fn decode<T: for<'a> Deserialize<'a>>(
+    keys: &Keys,
+    bytes: &[u8],
+    max: usize,
+) -> Result<T, DecodeError> {
+    if bytes.len() > max {
+        return Err(DecodeError::Oversized);
     }
-    let [first, second, version, ..] = *bytes else { return Err(Bad::Malformed) };
+    let [first, second, version, ..] = *bytes else { return Err(DecodeError::Malformed) };
     if [first, second] != MAGIC || bytes.len() < 3 + TAG {
-        return Err(Bad::Malformed);
+        return Err(DecodeError::Malformed);
     }
     if version != VERSION {
-        return Err(Bad::Version);
+        return Err(DecodeError::Version);
     }
-    let message = keys.open(bytes).ok_or(Bad::Seal)?;
-    match postcard::take_from_bytes(&message[3..]) {
-        Ok((what, [])) => Ok(what),
-        _ => Err(Bad::Malformed),
+    let opened = keys.open(bytes).ok_or(DecodeError::Seal)?;
+    match postcard::take_from_bytes(&opened[3..]) {
+        Ok((message, [])) => Ok(message),
+        _ => Err(DecodeError::Malformed),
     }
 }
 
-/// A hash of a name that is the same at every node: FNV-1a.
+/// Hash of a name (64-bit FNV-1a), the same at every node and in every version.
 pub fn hash(text: &str) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
     text.bytes().fold(0xcbf2_9ce4_8422_2325, step)
--- a/fleet/src/session.rs
+++ b/fleet/src/session.rs
@@ -1,109 +1,117 @@
-//! Guards against old datagrams that are played back. A process counts for another only once it has shown that it is
-//! there now: it returns a number that was just drawn. From then on each of its datagrams counts once.
+//! Replay protection: a session for each remote process.
+//!
+//! Datagrams of a process are accepted only once it has returned a nonce that was just drawn, which shows that it runs
+//! now. From then on each of its packet numbers is accepted once.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Processes that count at once. More than the largest fleet tried, so that none is challenged for want of room.
+/// Sessions held at once: more than the largest fleet tested, so that none is evicted in normal operation.
 const SESSIONS_MAX: usize = 4096;
-/// Challenges that are open at once; the oldest makes way.
+/// Challenges pending at once; the oldest is evicted.
 const CHALLENGES_MAX: usize = 1024;
-/// For which a challenge is open.
-const CHALLENGE_LIFE: Duration = Duration::from_secs(3);
-/// Between two challenges of one process.
-const CHALLENGE_GAP: Duration = Duration::from_millis(100);
-/// A process that said nothing for so long is challenged anew.
-const QUIET: Duration = Duration::from_secs(600);
-/// How far behind the newest a datagram may come and still count.
-const WINDOW: u64 = 128;
+/// Lifetime of a challenge.
+const CHALLENGE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shortest time between two challenges to one process.
+const CHALLENGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a datagram after which a session expires and its process is challenged again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+/// Packet numbers below the highest one that are still accepted.
+const REPLAY_WINDOW: u64 = 128;
 
 struct Session {
     newest: u64,
-    seen: u128, // of the newest and those before it: which have come
-    heard: Duration,
+    /// Bit `n` is set once the packet `n` below the newest was received.
+    seen: u128,
+    last_received: Duration,
 }
 
-struct Open {
+struct PendingChallenge {
     nonce: u64,
     at: Duration,
 }
 
-/// What to make of a datagram.
+/// Decision on a datagram.
 #[derive(Debug, PartialEq)]
-pub(crate) enum Verdict {
-    /// It counts.
-    Fresh,
-    /// It came before, or it is too old to tell.
+pub(crate) enum Admission {
+    /// It is accepted.
+    Accepted,
+    /// It was received before, or is too old to tell.
     Replayed,
-    /// Its process has yet to show that it is there: ask it for this number.
+    /// Its process has no session: challenge it with this nonce.
     Challenge(u64),
-    /// The same, but it was asked just now.
-    Wait,
+    /// Its process has no session, and was challenged just now.
+    ChallengePending,
 }
 
-/// Who counts, and who is asked.
+/// Established sessions and pending challenges, by process.
+///
+/// Guards memory: both tables are bounded, whatever arrives.
 #[derive(Default)]
 pub(crate) struct Sessions {
-    open: HashMap<u64, Session>,
-    asked: HashMap<u64, Open>,
+    established: HashMap<u64, Session>,
+    challenged: HashMap<u64, PendingChallenge>,
 }
 
 impl Sessions {
-    /// Takes the number of a datagram in; `draw` gives a number that nobody can know.
-    pub fn hear(&mut self, now: Duration, boot: u64, number: u64, draw: impl FnOnce() -> u64) -> Verdict {
-        if let Some(session) = self.open.get_mut(&boot).filter(|s| now - s.heard < QUIET) {
-            if !session.take(number) {
-                return Verdict::Replayed;
+    /// Decides on a datagram by its packet number; `draw` returns a nonce that nobody can predict.
+    pub fn admit(&mut self, now: Duration, boot: u64, number: u64, draw: impl FnOnce() -> u64) -> Admission {
+        if let Some(session) =
+            self.established.get_mut(&boot).filter(|s| now - s.last_received < IDLE_TIMEOUT)
+        {
+            if !session.accept(number) {
+                return Admission::Replayed;
             }
-            session.heard = now;
-            return Verdict::Fresh;
+            session.last_received = now;
+            return Admission::Accepted;
         }
-        if let Some(open) = self.asked.get(&boot) {
-            if now - open.at < CHALLENGE_GAP {
-                return Verdict::Wait;
+        if let Some(open) = self.challenged.get(&boot) {
+            if now - open.at < CHALLENGE_INTERVAL {
+                return Admission::ChallengePending;
             }
-            if now - open.at < CHALLENGE_LIFE {
-                return Verdict::Challenge(open.nonce);
+            if now - open.at < CHALLENGE_TIMEOUT {
+                return Admission::Challenge(open.nonce);
             }
         }
-        if self.asked.len() >= CHALLENGES_MAX {
-            self.asked.retain(|_, o| now - o.at < CHALLENGE_LIFE);
-            drop_oldest(&mut self.asked, CHALLENGES_MAX - 1, |o| (o.at, o.nonce));
+        if self.challenged.len() >= CHALLENGES_MAX {
+            self.challenged.retain(|_, o| now - o.at < CHALLENGE_TIMEOUT);
+            drop_oldest(&mut self.challenged, CHALLENGES_MAX - 1, |o| (o.at, o.nonce));
         }
         let nonce = draw();
-        self.asked.insert(boot, Open { nonce, at: now });
-        Verdict::Challenge(nonce)
+        self.challenged.insert(boot, PendingChallenge { nonce, at: now });
+        Admission::Challenge(nonce)
     }
 
-    /// Takes an answer to a challenge in; whether the process counts from here on.
-    pub fn prove(&mut self, now: Duration, boot: u64, number: u64, nonce: u64) -> bool {
-        let right = |o: &Open| o.nonce == nonce && now - o.at < CHALLENGE_LIFE;
-        if !self.asked.get(&boot).is_some_and(right) {
+    /// Handles the response to a challenge, and returns whether it established a session.
+    pub fn complete_challenge(&mut self, now: Duration, boot: u64, number: u64, nonce: u64) -> bool {
+        let right = |o: &PendingChallenge| o.nonce == nonce && now - o.at < CHALLENGE_TIMEOUT;
+        if !self.challenged.get(&boot).is_some_and(right) {
             return false;
         }
-        self.asked.remove(&boot);
-        drop_oldest(&mut self.open, SESSIONS_MAX - 1, |s| (s.heard, s.newest));
-        // What was sent before the proof may be old: none of it counts.
-        self.open.insert(boot, Session { newest: number, seen: u128::MAX, heard: now });
+        self.challenged.remove(&boot);
+        drop_oldest(&mut self.established, SESSIONS_MAX - 1, |s| (s.last_received, s.newest));
+        // Datagrams sent before the response may be replayed ones: none of them is accepted.
+        self.established.insert(boot, Session { newest: number, seen: u128::MAX, last_received: now });
         true
     }
 
-    /// How many entries there are in all.
+    /// Number of sessions and pending challenges.
     pub fn len(&self) -> usize {
-        self.open.len() + self.asked.len()
+        self.established.len() + self.challenged.len()
     }
 }
 
 impl Session {
-    fn take(&mut self, number: u64) -> bool {
+    /// Marks a packet number as received, and returns whether it was new.
+    fn accept(&mut self, number: u64) -> bool {
         if number > self.newest {
             let step = number - self.newest;
-            self.seen = if step < WINDOW { self.seen << step | 1 } else { 1 };
+            self.seen = if step < REPLAY_WINDOW { self.seen << step | 1 } else { 1 };
             self.newest = number;
             return true;
         }
         let behind = self.newest - number;
-        if behind >= WINDOW || self.seen >> behind & 1 == 1 {
+        if behind >= REPLAY_WINDOW || self.seen >> behind & 1 == 1 {
             return false;
         }
         self.seen |= 1 << behind;
@@ -126,8 +134,8 @@
     const MS: Duration = Duration::from_millis(1);
 
     fn proven(s: &mut Sessions, now: Duration, boot: u64, number: u64) {
-        assert_eq!(s.hear(now, boot, number, || 77), Verdict::Challenge(77));
-        assert!(s.prove(now, boot, number + 1, 77));
+        assert_eq!(s.admit(now, boot, number, || 77), Admission::Challenge(77));
+        assert!(s.complete_challenge(now, boot, number + 1, 77));
     }
 
     #[test]
@@ -137,41 +145,41 @@
         for (number, fresh) in
             [(12, true), (12, false), (15, true), (13, true), (13, false), (11, false), (9, false)]
         {
-            let want = if fresh { Verdict::Fresh } else { Verdict::Replayed };
-            assert_eq!(s.hear(MS, 1, number, || 0), want, "{number}");
+            let want = if fresh { Admission::Accepted } else { Admission::Replayed };
+            assert_eq!(s.admit(MS, 1, number, || 0), want, "{number}");
         }
-        assert_eq!(s.hear(MS, 1, 1000, || 0), Verdict::Fresh);
-        assert_eq!(s.hear(MS, 1, 1000 - WINDOW, || 0), Verdict::Replayed, "too old to tell");
-        assert_eq!(s.hear(MS, 1, 1001 - WINDOW, || 0), Verdict::Fresh);
+        assert_eq!(s.admit(MS, 1, 1000, || 0), Admission::Accepted);
+        assert_eq!(s.admit(MS, 1, 1000 - REPLAY_WINDOW, || 0), Admission::Replayed, "too old to tell");
+        assert_eq!(s.admit(MS, 1, 1001 - REPLAY_WINDOW, || 0), Admission::Accepted);
     }
 
     #[test]
     fn a_proof_counts_for_its_challenge_only() {
         let mut s = Sessions::default();
-        assert!(!s.prove(MS, 1, 5, 0), "nobody asked");
-        assert_eq!(s.hear(MS, 1, 5, || 42), Verdict::Challenge(42));
-        assert_eq!(s.hear(MS * 2, 1, 6, || 43), Verdict::Wait);
-        assert_eq!(s.hear(MS * 200, 1, 6, || 43), Verdict::Challenge(42), "a challenge may get lost");
-        assert!(!s.prove(MS * 200, 1, 7, 41));
-        assert!(!s.prove(MS * 200, 2, 7, 42));
-        assert!(!s.prove(MS * 3200, 1, 7, 42), "too late");
-        assert_eq!(s.hear(MS * 3200, 1, 8, || 44), Verdict::Challenge(44));
-        assert!(s.prove(MS * 3201, 1, 9, 44));
-        assert!(!s.prove(MS * 3202, 1, 10, 44), "played back");
+        assert!(!s.complete_challenge(MS, 1, 5, 0), "nobody asked");
+        assert_eq!(s.admit(MS, 1, 5, || 42), Admission::Challenge(42));
+        assert_eq!(s.admit(MS * 2, 1, 6, || 43), Admission::ChallengePending);
+        assert_eq!(s.admit(MS * 200, 1, 6, || 43), Admission::Challenge(42), "a challenge may get lost");
+        assert!(!s.complete_challenge(MS * 200, 1, 7, 41));
+        assert!(!s.complete_challenge(MS * 200, 2, 7, 42));
+        assert!(!s.complete_challenge(MS * 3200, 1, 7, 42), "too late");
+        assert_eq!(s.admit(MS * 3200, 1, 8, || 44), Admission::Challenge(44));
+        assert!(s.complete_challenge(MS * 3201, 1, 9, 44));
+        assert!(!s.complete_challenge(MS * 3202, 1, 10, 44), "played back");
     }
 
-    /// Guards memory against a flood of processes that nobody has heard of.
+    /// Guards memory against a flood of processes that nobody has last_received of.
     #[test]
     fn tables_are_bounded() {
         let mut s = Sessions::default();
         for boot in 0..20_000 {
             let now = MS * boot as u32;
-            assert_eq!(s.hear(now, boot, 1, || boot), Verdict::Challenge(boot));
+            assert_eq!(s.admit(now, boot, 1, || boot), Admission::Challenge(boot));
             if boot % 2 == 0 {
-                assert!(s.prove(now, boot, 2, boot));
+                assert!(s.complete_challenge(now, boot, 2, boot));
             }
         }
         assert!(s.len() <= SESSIONS_MAX + CHALLENGES_MAX, "{}", s.len());
-        assert_eq!(s.hear(MS * 20_000, 19_998, 3, || 0), Verdict::Fresh, "the newest stay");
+        assert_eq!(s.admit(MS * 20_000, 19_998, 3, || 0), Admission::Accepted, "the newest stay");
     }
 }
--- a/node/src/duties.rs
+++ b/node/src/duties.rs
@@ -14,7 +14,7 @@
 use crate::counters::Counters;
 use crate::fleet;
 use crate::phase::{Phase, Phases};
-use ::fleet::file::{Duties as File, Errand as Call};
+use ::fleet::file::{Duties as File, ScheduledCall};
 use ::fleet::{hash, Peer};
 use disk::Why;
 use duties::{
@@ -237,13 +237,13 @@
     roll: roll::Hand,
 }
 
-fn errand_duty(call: &Call) -> String {
+fn errand_duty(call: &ScheduledCall) -> String {
     format!("errand/{}", call.name)
 }
 
 impl Task {
     async fn run(mut self, mut orders: mpsc::Receiver<Order>, mut done: mpsc::Receiver<Done>) {
-        let Some(mut heard) = self.links.fleet.heard() else { return };
+        let Some(mut heard) = self.links.fleet.messages() else { return };
         let mut told = self.links.lists.as_mut().and_then(|l| l.told.take());
         let mut peers = self.links.fleet.peers();
         let mut phase = self.links.phase.clone();
@@ -366,7 +366,7 @@
         let all: Vec<&Peer> = peers.iter().collect();
         let zone: Vec<&Peer> = peers.iter().filter(|p| p.zone == self.links.zone).collect();
         let mut duties: Vec<(String, &[&Peer])> =
-            self.links.file.errands.iter().map(|e| (errand_duty(e), &all[..])).collect();
+            self.links.file.scheduled_calls.iter().map(|e| (errand_duty(e), &all[..])).collect();
         if let Some(lists) = &mut self.links.lists {
             lists.peers(&zone);
             if !lists.failed(now) {
@@ -583,7 +583,7 @@
 
     fn say(&self, to: SocketAddr, talk: &Talk) {
         match postcard::to_stdvec(talk) {
-            Ok(bytes) => self.links.fleet.bring(to, bytes),
+            Ok(bytes) => self.links.fleet.send_message(to, bytes),
             Err(e) => log::error!("duties: a word can't be written: {e}"),
         }
     }
@@ -635,7 +635,7 @@
 
     /// Makes the calls that are due. The right to each is asked for right before it.
     fn call(&mut self, now: Duration) {
-        for call in &self.links.file.errands {
+        for call in &self.links.file.scheduled_calls {
             let duty = errand_duty(call);
             let Some(due) = self.calls.get_mut(&duty).filter(|d| !d.out && now >= d.next) else { continue };
             let Some(token) = self.client.may_act(boottime(), &duty) else { continue };
--- a/node/src/duties/errand.rs
+++ b/node/src/duties/errand.rs
@@ -1,6 +1,6 @@
 //! One call of an errand: the token goes along, and whoever is called refuses one that is lower than it has seen.
 
-use ::fleet::file::Errand;
+use ::fleet::file::ScheduledCall;
 use http_body_util::Empty;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::handshake;
@@ -25,7 +25,7 @@
 }
 
 /// Makes the call.
-pub async fn run(call: &Errand, duty: &str, token: u64, node: &str) -> Outcome {
+pub async fn run(call: &ScheduledCall, duty: &str, token: u64, node: &str) -> Outcome {
     match timeout(WAIT, post(call, duty, token, node)).await {
         Ok(Ok(status)) if status.is_success() => Outcome::Done,
         Ok(Ok(StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED)) => Outcome::Refused,
@@ -35,7 +35,7 @@
     }
 }
 
-async fn post(call: &Errand, duty: &str, token: u64, node: &str) -> Result<StatusCode, String> {
+async fn post(call: &ScheduledCall, duty: &str, token: u64, node: &str) -> Result<StatusCode, String> {
     let socket = TcpStream::connect(call.at).await.map_err(|e| e.to_string())?;
     let (mut sender, connection) = handshake(TokioIo::new(socket)).await.map_err(|e| e.to_string())?;
     tokio::spawn(connection);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -143,7 +143,7 @@
             while asked.recv().await.is_some() {
                 say(&on_request);
                 if let Some(fleet) = &of_fleet {
-                    fleet.say().await;
+                    fleet.log_counters().await;
                 }
             }
         });
@@ -193,7 +193,7 @@
             duties.leave().await;
         }
         if let Some(fleet) = &fleet {
-            fleet.say().await;
+            fleet.log_counters().await;
             fleet.leave().await;
         }
         served.map(|_| ())
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -123,7 +123,7 @@
         let Some(fleet) = &self.fleet else {
             return say(StatusCode::NOT_FOUND, "this node talks to no other: it was started without --fleet");
         };
-        match fleet.show().await.map(|shown| serde_json::to_string(&shown)) {
+        match fleet.status().await.map(|status| serde_json::to_string(&status)) {
             Some(Ok(text)) => json(&text),
             _ => say(StatusCode::SERVICE_UNAVAILABLE, "the talk between nodes has ended"),
         }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -27,7 +27,7 @@
 use crate::phase::Phases;
 use crate::retune::Tuning;
 use crate::upgrade::{self, Before, Held, Lifted};
-use ::fleet::{Stand, RATES_MAX};
+use ::fleet::{FleetSize, RATES_MAX};
 use attempt::Carrier;
 use bytes::Bytes;
 use dewlever::api::{Outcome, Request, Settings, WorkerId};
@@ -148,15 +148,15 @@
 
 /// The settings with what this wire adds: a worker answers 200 once it has taken a job, and its connection may take as long
 /// as the settings allow to come up; and with what the fleet tells.
-fn platform(settings: Settings, names: &Names, stand: Option<&Stand>) -> Settings {
+fn platform(settings: Settings, names: &Names, fleet_size: Option<&FleetSize>) -> Settings {
     let lag_us = names.connect_timeout.as_micros() as u64;
     let settings = Settings { tells_taken: true, lag_us, ..settings };
-    match stand.filter(|s| !s.names.is_empty()) {
-        Some(stand) => Settings {
-            siblings: stand.siblings,
-            ordinal: stand.ordinal,
-            most_senders: stand.senders,
-            order: number_of(&stand.names.join("\n")),
+    match fleet_size.filter(|s| !s.names.is_empty()) {
+        Some(fleet_size) => Settings {
+            siblings: fleet_size.siblings,
+            ordinal: fleet_size.ordinal,
+            most_senders: fleet_size.senders,
+            order: number_of(&fleet_size.names.join("\n")),
             ..settings
         },
         None => settings,
@@ -174,19 +174,19 @@
 /// What other nodes are told, and tell: by name on the wire, by number in the module.
 struct Peers {
     fleet: fleet::Handle,
-    stand: watch::Receiver<Stand>,
+    fleet_size: watch::Receiver<FleetSize>,
     names: watch::Receiver<Arc<Names>>,
 }
 
 impl Peers {
     fn tell(&self, to: u32, rates: &[u8]) {
-        let (stand, names) = (self.stand.borrow(), self.names.borrow());
+        let (fleet_size, names) = (self.fleet_size.borrow(), self.names.borrow());
         let tenants = names.tenants.iter().map(|t| number_of(t));
         let rates = rates.chunks_exact(2).map(|r| u16::from_be_bytes([r[0], r[1]]));
         let rates: Vec<_> = tenants.zip(rates).collect();
         // Of more tenants than go into one datagram, a part would pass for all of them.
-        if let Some(to) = stand.names.get(to as usize).filter(|_| rates.len() <= RATES_MAX) {
-            self.fleet.tell((to.clone(), rates));
+        if let Some(to) = fleet_size.names.get(to as usize).filter(|_| rates.len() <= RATES_MAX) {
+            self.fleet.send_rates((to.clone(), rates));
         }
     }
 
@@ -194,7 +194,7 @@
     async fn follow(self, handle: Handle<Job>) {
         let Some(mut told) = self.fleet.rates() else { return };
         while let Some((from, rates)) = told.recv().await {
-            let from = self.stand.borrow().names.iter().position(|n| *n == from);
+            let from = self.fleet_size.borrow().names.iter().position(|n| *n == from);
             let rates: HashMap<u64, u16> = rates.into_iter().collect();
             let names = self.names.borrow().clone();
             let of = |tenant: &String| rates.get(&number_of(tenant)).copied().unwrap_or(0);
@@ -235,7 +235,7 @@
     });
     let peers = || {
         let names = names.clone();
-        fleet.as_ref().map(|f| Peers { fleet: f.clone(), stand: f.stand(), names })
+        fleet.as_ref().map(|f| Peers { fleet: f.clone(), fleet_size: f.fleet_size(), names })
     };
     if let Some(peers) = peers() {
         tokio::spawn(peers.follow(handle.clone()));
@@ -270,12 +270,12 @@
     tokio::spawn(lists.follow(discovery, known));
     tokio::spawn({
         let (handle, pool) = (handle.clone(), stock.pool.clone());
-        let mut stand = fleet.as_ref().map(|f| f.stand());
+        let mut fleet_size = fleet.as_ref().map(|f| f.fleet_size());
         async move {
             loop {
                 let moved = async {
-                    if let Some(stand) = &mut stand {
-                        if stand.changed().await.is_ok() {
+                    if let Some(fleet_size) = &mut fleet_size {
+                        if fleet_size.changed().await.is_ok() {
                             return;
                         }
                     }
@@ -287,9 +287,9 @@
                 }
                 let Tuning { settings, names } = tuning.borrow_and_update().clone();
                 pool.times(&names);
-                let stand = stand.as_mut().map(|s| s.borrow_and_update().clone());
+                let fleet_size = fleet_size.as_mut().map(|s| s.borrow_and_update().clone());
                 // The core first: no request may come with a class that it has not heard of.
-                handle.settings(platform(settings, &names, stand.as_ref()), names.continues.clone());
+                handle.settings(platform(settings, &names, fleet_size.as_ref()), names.continues.clone());
                 if **tell_names.borrow() != names {
                     tell_names.send_replace(Arc::new(names));
                 }
@@ -300,7 +300,7 @@
     if let Some(place) = place {
         let (listener, phases, stock) = (Arc::downgrade(&listener), phases.clone(), stock.clone());
         let fleet = fleet.clone();
-        let displaced = move || fleet.iter().for_each(fleet::Handle::stand_aside);
+        let displaced = move || fleet.iter().for_each(fleet::Handle::suspend);
         tokio::spawn(async move { upgrade::offer(&place, listener, &phases, &*stock, displaced).await });
     }
     let server = Arc::new(server::Server { handle, names, counters, stock, phase: phases.follow(), phases });
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many processes of the program with faults between them: what each tells of the others becomes equal and true, and
 //! stays so. Steps wait for what is seen, with generous limits; the views' own pace is set fast.
 
-use fleet::{Shown, Status};
+use fleet::{MemberStatus, Status};
 use rig::check::Truth;
 use rig::load::{play, Load};
 use rig::process::call;
@@ -48,17 +48,17 @@
     }
 }
 
-async fn status(yard: &Yard, viewer: usize, of: usize) -> Option<Status> {
+async fn status(yard: &Yard, viewer: usize, of: usize) -> Option<MemberStatus> {
     seen(yard, viewer, of).await.map(|s| s.2)
 }
 
 /// What a node tells.
-async fn shown(yard: &Yard, i: usize) -> Option<Shown> {
-    yard.shown().await.remove(&Yard::name(i))?
+async fn shown(yard: &Yard, i: usize) -> Option<Status> {
+    yard.statuses().await.remove(&Yard::name(i))?
 }
 
 /// How one node sees another: where, in which life, and what it holds it to be.
-async fn seen(yard: &Yard, viewer: usize, of: usize) -> Option<(SocketAddr, u64, Status)> {
+async fn seen(yard: &Yard, viewer: usize, of: usize) -> Option<(SocketAddr, u64, MemberStatus)> {
     let view = shown(yard, viewer).await?.view;
     let line = view.members.into_iter().find(|m| m.name == Yard::name(of))?;
     Some((line.address, line.incarnation, line.status))
@@ -85,8 +85,8 @@
     let mut yard = started(spec(9)).await;
     (0..3).for_each(|i| yard.kill(i)); // all seeds
     settled(&yard, 3..9).await;
-    for (name, shown) in yard.shown().await {
-        let stand = shown.unwrap().stand;
+    for (name, shown) in yard.statuses().await {
+        let stand = shown.unwrap().fleet_size;
         assert_eq!((stand.siblings, stand.senders), (6, 9), "{name}");
     }
     // With all seeds gone, one that starts anew is found by those that hold it dead.
@@ -109,8 +109,8 @@
     truth.parts.values_mut().zip(parts).for_each(|(part, p)| *part = p);
     truly(&yard, &truth).await;
     sleep(3 * S).await; // both go on for a while, each for itself
-    for (name, shown) in yard.shown().await {
-        let stand = shown.unwrap().stand;
+    for (name, shown) in yard.statuses().await {
+        let stand = shown.unwrap().fleet_size;
         // Each half may share the quotas alone, and neither what cold workers bear: the other half may be sending.
         assert_eq!((stand.siblings, stand.senders), (4, 8), "{name}");
     }
@@ -128,13 +128,16 @@
     }
     let start = Instant::now();
     while start.elapsed() < 5 * S {
-        assert!(status(&yard, 1, 0).await.is_some_and(Status::there), "others reach it in its place");
+        assert!(
+            status(&yard, 1, 0).await.is_some_and(MemberStatus::is_present),
+            "others reach it in its place"
+        );
         sleep(S / 5).await;
     }
     yard.relays.heal();
     (1..8).for_each(|to| yard.relays.rule(0, to, Rule { cut: true, ..Rule::default() }));
     until("the others miss one that hears and is not heard", || async {
-        status(&yard, 1, 0).await == Some(Status::Dead)
+        status(&yard, 1, 0).await == Some(MemberStatus::Dead)
     })
     .await;
     yard.relays.heal();
@@ -151,7 +154,7 @@
     sleep(length).await;
     yard.relays.heal();
     settled(&yard, 0..8).await;
-    let refused: u64 = yard.shown().await.values().flatten().map(|s| s.figures.refused.seal).sum();
+    let refused: u64 = yard.statuses().await.values().flatten().map(|s| s.counters.refused.seal).sum();
     assert!(refused > 0, "mutated ones were refused");
 }
 
@@ -194,7 +197,7 @@
     })
     .await;
     until("the others know the newer one", || async {
-        seen(&yard, 0, 4).await.is_some_and(|s| s.0 == at && s.2 == Status::Alive)
+        seen(&yard, 0, 4).await.is_some_and(|s| s.0 == at && s.2 == MemberStatus::Alive)
     })
     .await;
     let first = seen(&yard, 0, 4).await;
@@ -218,13 +221,14 @@
     let at = yard.node(2).management;
     assert_eq!(call(at, "POST", "/healthcheck/fail").await.map(|a| a.0), Some(200));
     until("one fewer takes jobs", || async {
-        shown(&yard, 0).await.is_some_and(|s| (s.stand.siblings, s.stand.senders) == (5, 6))
+        shown(&yard, 0).await.is_some_and(|s| (s.fleet_size.siblings, s.fleet_size.senders) == (5, 6))
     })
     .await;
-    assert_eq!(status(&yard, 0, 2).await, Some(Status::Draining));
+    assert_eq!(status(&yard, 0, 2).await, Some(MemberStatus::Draining));
     yard.node(2).signal(Signal::TERM);
     until("it ended", || std::future::ready(yard.node(2).ended().is_some())).await;
-    until("it left, and did not die", || async { status(&yard, 0, 2).await == Some(Status::Left) }).await;
+    until("it left, and did not die", || async { status(&yard, 0, 2).await == Some(MemberStatus::Left) })
+        .await;
     settled(&yard, [0, 1, 3, 4, 5]).await;
     assert!([0, 1, 3, 4, 5].iter().all(|i| told(&yard.log(*i), "member_down") == 0));
 }
@@ -344,7 +348,7 @@
     assert!(used < 250, "{used} hundredths of a second, of about 500, jobs included");
     settled(&yard, 0..5).await;
     let told = shown(&yard, 0).await.unwrap();
-    let refused = told.figures.refused;
+    let refused = told.counters.refused;
     assert!(refused.replayed + refused.astray + refused.unproven > 0, "{refused:?}");
     assert!(refused.oversized > 0 && refused.malformed > 0 && told.floods > 0, "{refused:?}");
 
@@ -353,7 +357,7 @@
     yard.start_node(5).unwrap();
     settled(&yard, 0..5).await;
     let alone = shown(&yard, 5).await.unwrap();
-    assert!(!alone.view.joined && alone.stand.siblings == 6, "one that hears nobody goes by the plan");
+    assert!(!alone.view.joined && alone.fleet_size.siblings == 6, "one that hears nobody goes by the plan");
     yard.kill(5);
 
     // Keys change under SIGHUP, one step after the other, with all in one fleet at each.
@@ -381,8 +385,8 @@
     let load = Load { rate: 20.0, length: 4 * S, seed: 5, tenants: TENANTS.map(String::from).to_vec() };
     let report = play(load, (0..4).map(|i| yard.listen(i)).collect()).await;
     assert!(report.in_time > report.due / 2, "{report}");
-    for (name, shown) in yard.shown().await {
-        assert!(shown.unwrap().figures.rates > 0, "{name} heard of nobody's tenants");
+    for (name, shown) in yard.statuses().await {
+        assert!(shown.unwrap().counters.rates > 0, "{name} heard of nobody's tenants");
     }
     let at = yard.node(1).management.to_string();
     let show = |arguments: &[&str]| {
@@ -394,7 +398,7 @@
     assert!(out.starts_with("fleet rig, as n01 sees it: 4 take jobs, 4 may be sending\n"), "{out}");
     assert!((0..4).all(|i| out.contains(&Yard::name(i))) && out.matches(" alive ").count() == 4, "{out}");
     let (_, json, _) = show(&["fleet", "show", &at, "--json"]);
-    let shown: fleet::Shown = serde_json::from_str(&json).unwrap();
+    let shown: fleet::Status = serde_json::from_str(&json).unwrap();
     assert_eq!(shown.view.members.len(), 4);
     yard.kill(1);
     let (code, _, said) = show(&["fleet", "show", &at]);
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -57,16 +57,16 @@
         };
         let names: BTreeSet<&str> = view.members.iter().map(|m| m.name.as_str()).collect();
         let own = view.members.iter().find(|m| m.name == *name);
-        let own_is_so = own.is_some_and(|m| m.status.there() && m.incarnation == view.incarnation);
+        let own_is_so = own.is_some_and(|m| m.status.is_present() && m.incarnation == view.incarnation);
         if names.len() != view.members.len() || view.node != *name || !own_is_so {
             faults.push(Fault::Twisted(name.clone()));
         }
-        let there: BTreeSet<&str> = view.there().collect();
+        let there: BTreeSet<&str> = view.present_names().collect();
         let reached: BTreeSet<&str> =
             truth.parts.iter().filter(|(_, p)| *p == part).map(|(n, _)| n.as_str()).collect();
         faults.extend(reached.difference(&there).map(|o| Fault::Lost(name.clone(), o.to_string())));
         faults.extend(there.difference(&reached).map(|o| Fault::Kept(name.clone(), o.to_string())));
-        for m in view.members.iter().filter(|m| m.status.there()) {
+        for m in view.members.iter().filter(|m| m.status.is_present()) {
             let (first, life) = *lives.entry((*part, &m.name)).or_insert((name, m.incarnation));
             if life != m.incarnation {
                 faults.push(Fault::Differ(first.to_string(), name.clone(), m.name.clone()));
@@ -79,10 +79,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use fleet::{Line, Status};
+    use fleet::{MemberInfo, MemberStatus};
 
-    fn view(node: &str, members: &[(&str, Status, u64)]) -> View {
-        let line = |(name, status, incarnation): &(&str, Status, u64)| Line {
+    fn view(node: &str, members: &[(&str, MemberStatus, u64)]) -> View {
+        let line = |(name, status, incarnation): &(&str, MemberStatus, u64)| MemberInfo {
             name: name.to_string(),
             zone: String::new(),
             address: "127.0.0.1:1".parse().unwrap(),
@@ -91,7 +91,7 @@
             status: *status,
             for_ms: 0,
         };
-        let members: Vec<Line> = members.iter().map(line).collect();
+        let members: Vec<MemberInfo> = members.iter().map(line).collect();
         let incarnation = members.iter().find(|m| m.name == node).map_or(0, |m| m.incarnation);
         View { fleet: "f".into(), node: node.into(), incarnation, yielded_to: None, joined: true, members }
     }
@@ -103,7 +103,7 @@
     /// Each planted fault is told, and nothing else is.
     #[test]
     fn planted_faults_are_told() {
-        use Status::*;
+        use MemberStatus::*;
         let truth = Truth::whole(["a", "b", "c"]);
         let good = [("a", Alive, 1), ("b", Suspect, 1), ("c", Draining, 1), ("d", Dead, 1)];
         let all = |change: &dyn Fn(&mut Vec<View>)| {
@@ -145,7 +145,7 @@
 
     #[test]
     fn the_halves_of_a_partition_are_judged_by_what_each_can_reach() {
-        use Status::*;
+        use MemberStatus::*;
         let mut truth = Truth::whole(["a", "b"]);
         truth.parts.insert("c".into(), 1);
         let half = [("a", Alive, 1), ("b", Alive, 1), ("c", Dead, 1)];
--- a/rig/src/emulated.rs
+++ b/rig/src/emulated.rs
@@ -4,7 +4,7 @@
 use crate::check::{faults, Fault, Truth};
 use crate::relay::Rules;
 use fleet::keys::Keys;
-use fleet::{Action, Birth, Config, Figures, Machine, Note, Timing, View};
+use fleet::{Action, Config, Counters, Machine, MembershipEvent, ProcessStart, Timing, View};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -37,7 +37,7 @@
 
 enum Event {
     Datagram { to: usize, bytes: Vec<u8> },
-    Exchange { from: usize, boot: u64, to: SocketAddr },
+    SyncState { from: usize, boot: u64, to: SocketAddr },
     Wake(usize),
 }
 
@@ -54,7 +54,7 @@
 }
 
 /// What a node noted, when.
-pub type Noted = (Duration, usize, Note);
+pub type RecordedEvent = (Duration, usize, MembershipEvent);
 
 /// Many machines and what lies between them.
 pub struct World {
@@ -68,7 +68,7 @@
     pub rules: Rules,
     rng: SmallRng,
     /// What the nodes noted; who looks at it clears it.
-    pub notes: Vec<Noted>,
+    pub events: Vec<RecordedEvent>,
     /// What was sent to whom, where it is kept, for those who play it back.
     pub tape: Option<Vec<(usize, Vec<u8>)>>,
 }
@@ -109,7 +109,7 @@
             order: 0,
             rules: Rules::default(),
             rng: SmallRng::seed_from_u64(spec.seed),
-            notes: Vec::new(),
+            events: Vec::new(),
             tape: None,
             spec,
         }
@@ -146,7 +146,8 @@
     pub fn start_as(&mut self, i: usize, name: &str) {
         let node = &mut self.nodes[i];
         let unix_ms = 1_700_000_000_000 + self.now.as_millis() as i64 + node.skew_ms;
-        let birth = Birth { boot: self.rng.random(), unix_ms: unix_ms as u64, seed: self.rng.random() };
+        let start =
+            ProcessStart { boot: self.rng.random(), unix_ms: unix_ms as u64, seed: self.rng.random() };
         let config = Config {
             fleet: "emulated".to_string(),
             name: name.to_string(),
@@ -156,8 +157,8 @@
             keys: node.keys.clone(),
             timing: self.spec.timing.clone(),
         };
-        node.machine = Some(Machine::new(config, birth, Duration::ZERO));
-        (node.started, node.boot, node.stopped, node.wake) = (self.now, birth.boot, false, None);
+        node.machine = Some(Machine::new(config, start, Duration::ZERO));
+        (node.started, node.boot, node.stopped, node.wake) = (self.now, start.boot, false, None);
         node.inbox.clear();
         self.after(i);
     }
@@ -226,7 +227,7 @@
             self.now = entry.key().0;
             match entry.remove() {
                 Event::Datagram { to, bytes } => self.arrive(to, bytes),
-                Event::Exchange { from, boot, to } => self.exchange(from, boot, to),
+                Event::SyncState { from, boot, to } => self.sync_state(from, boot, to),
                 Event::Wake(i) => self.wake(i),
             }
         }
@@ -298,8 +299,8 @@
     }
 
     /// A node's counters.
-    pub fn figures(&self, i: usize) -> Figures {
-        self.nodes[i].machine.as_ref().map(Machine::figures).unwrap_or_default()
+    pub fn counters(&self, i: usize) -> Counters {
+        self.nodes[i].machine.as_ref().map(Machine::counters).unwrap_or_default()
     }
 
     fn local(&self, i: usize) -> Duration {
@@ -338,7 +339,7 @@
         self.after(i);
     }
 
-    fn exchange(&mut self, from: usize, boot: u64, to: SocketAddr) {
+    fn sync_state(&mut self, from: usize, boot: u64, to: SocketAddr) {
         let Some(&other) = self.at.get(&to) else { return };
         let open = |a, b| !self.rules.between(a, b).cut;
         let same = self.nodes[from].boot == boot;
@@ -355,9 +356,9 @@
         let mut machine = |i: usize| self.nodes[i].machine.take();
         let (Some(mut asks), Some(mut tells)) = (machine(from), machine(other)) else { return };
         let challenge = tells.challenge();
-        let (asked, state) = asks.ask_state(here, to, challenge);
-        if let Some(answer) = tells.answer_state(there, challenge, &state) {
-            asks.take_state(here, asked, &answer);
+        let (asked, state) = asks.request_sync(here, to, challenge);
+        if let Some(answer) = tells.answer_sync(there, challenge, &state) {
+            asks.finish_sync(here, asked, &answer);
         }
         (self.nodes[from].machine, self.nodes[other].machine) = (Some(asks), Some(tells));
         self.after(from);
@@ -370,12 +371,12 @@
         while let Some(action) = machine.action() {
             match action {
                 Action::Send { to, bytes } => self.send(i, to, bytes),
-                Action::Exchange { to } => {
+                Action::SyncState { to } => {
                     let boot = self.nodes[i].boot;
-                    self.put(WIRE * 4, Event::Exchange { from: i, boot, to });
+                    self.put(WIRE * 4, Event::SyncState { from: i, boot, to });
                 }
-                Action::Rates { .. } | Action::Word { .. } => {}
-                Action::Note(note) => self.notes.push((self.now, i, note)),
+                Action::Rates { .. } | Action::Message { .. } => {}
+                Action::Event(event) => self.events.push((self.now, i, event)),
             }
         }
         let due = self.nodes[i].started.saturating_add(machine.due()).max(self.now);
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -5,7 +5,7 @@
 use crate::lists;
 use crate::relay::Rule;
 use crate::yard::{self, Yard};
-use fleet::{Note, Status};
+use fleet::{MemberStatus, MembershipEvent};
 use hdrhistogram::Histogram;
 use std::fmt;
 use std::io;
@@ -75,7 +75,7 @@
     let settled = world.until(Duration::from_secs(120), &truth);
     assert!(settled.is_ok(), "the fleet does not settle: {settled:?}");
     let total =
-        |w: &World| (0..nodes).map(|i| w.figures(i)).fold((0, 0), |t, f| (t.0 + f.sent, t.1 + f.sent_bytes));
+        |w: &World| (0..nodes).map(|i| w.counters(i)).fold((0, 0), |t, f| (t.0 + f.sent, t.1 + f.sent_bytes));
     let (before, real, calm) = (total(&world), Instant::now(), Duration::from_secs(30));
     world.run(calm);
     let after = total(&world);
@@ -86,14 +86,14 @@
     figures.cpu = real.elapsed().as_secs_f64() / each;
     for play in 0..plays {
         let victim = (play as usize * 7 + 3) % nodes;
-        world.notes.clear();
+        world.events.clear();
         let killed = world.now();
         world.kill(victim);
         let truth = world.truth();
         let all = world.until(Duration::from_secs(120), &truth);
         let Ok(all) = all else { panic!("the fleet does not settle: {all:?}") };
-        let down = |n: &&(Duration, usize, Note)| matches!(&n.2, Note::Down(id) if id.name == name(victim));
-        let first = world.notes.iter().find(down).map_or(all, |n| n.0 - killed);
+        let down = |n: &&(Duration, usize, MembershipEvent)| matches!(&n.2, MembershipEvent::Down(id) if id.name == name(victim));
+        let first = world.events.iter().find(down).map_or(all, |n| n.0 - killed);
         figures.detected.record(ms(first)).map_err(|e| e.to_string()).expect(NO_BOUND);
         figures.all.record(ms(all)).map_err(|e| e.to_string()).expect(NO_BOUND);
         world.start(victim);
@@ -101,9 +101,11 @@
         let joined = world.until(Duration::from_secs(120), &truth);
         let Ok(joined) = joined else { panic!("the fleet does not settle: {joined:?}") };
         figures.joined.record(ms(joined)).map_err(|e| e.to_string()).expect(NO_BOUND);
-        figures.false_deaths +=
-            world.notes.iter().filter(|n| matches!(&n.2, Note::Down(id) if id.name != name(victim))).count()
-                as u64;
+        figures.false_deaths += world
+            .events
+            .iter()
+            .filter(|n| matches!(&n.2, MembershipEvent::Down(id) if id.name != name(victim)))
+            .count() as u64;
     }
     figures
 }
@@ -133,7 +135,7 @@
         while first.is_none() && killed.elapsed() < bound {
             let views = yard.views().await;
             let dead = |v: &fleet::View| {
-                v.members.iter().any(|m| m.name == Yard::name(victim) && m.status == Status::Dead)
+                v.members.iter().any(|m| m.name == Yard::name(victim) && m.status == MemberStatus::Dead)
             };
             first = views.values().flatten().any(dead).then(|| killed.elapsed());
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -146,9 +148,11 @@
         let joined = yard.settled(&Yard::truth(0..nodes), bound).await.map_err(fail)?;
         figures.joined.record(ms(joined)).map_err(|e| e.to_string()).expect(NO_BOUND);
         let views = yard.views().await;
-        figures.false_deaths +=
-            views.values().flatten().filter(|v| v.members.iter().any(|m| m.status == Status::Dead)).count()
-                as u64;
+        figures.false_deaths += views
+            .values()
+            .flatten()
+            .filter(|v| v.members.iter().any(|m| m.status == MemberStatus::Dead))
+            .count() as u64;
     }
     Ok(figures)
 }
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -4,7 +4,7 @@
 use crate::load::{play, Load, Report};
 use crate::relay::Rule;
 use crate::yard::{Duties, Spec, Yard, NODES_MAX, TENANTS};
-use fleet::Shown;
+use fleet::Status;
 use rustix::process::Signal;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -152,7 +152,7 @@
     /// How long after the load's end the views of all that ran were equal and true, or what was wrong.
     pub settled: Result<Duration, Vec<Fault>>,
     /// What each node told, each half second from the load's start on.
-    pub history: Vec<(Duration, BTreeMap<String, Option<Shown>>)>,
+    pub history: Vec<(Duration, BTreeMap<String, Option<Status>>)>,
     /// Workers that fell over, and the most that came to one while it was cold, as a part of what makes it fall.
     pub fell: usize,
     /// The same.
@@ -225,10 +225,10 @@
     yard: &Yard,
     start: Instant,
     until: Duration,
-    history: &mut Vec<(Duration, BTreeMap<String, Option<Shown>>)>,
+    history: &mut Vec<(Duration, BTreeMap<String, Option<Status>>)>,
 ) {
     while yard.spec.fleet && start.elapsed() + WATCH < until {
-        history.push((start.elapsed(), yard.shown().await));
+        history.push((start.elapsed(), yard.statuses().await));
         sleep(WATCH).await;
     }
     sleep_until(start + until).await;
--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -1,6 +1,6 @@
 //! One process of the program: started, stopped, continued, killed, and never left behind.
 
-use fleet::Shown;
+use fleet::Status;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::fs::File;
@@ -107,7 +107,7 @@
 }
 
 /// What the node at this management address tells of its fleet.
-pub async fn shown(at: SocketAddr) -> Option<Shown> {
+pub async fn fleet_status(at: SocketAddr) -> Option<Status> {
     let (status, body) = call(at, "GET", "/fleet").await?;
     serde_json::from_slice(&body).ok().filter(|_| status == 200)
 }
--- a/rig/src/show.rs
+++ b/rig/src/show.rs
@@ -2,7 +2,7 @@
 
 use crate::load::{play, Load};
 use crate::yard::{Spec, Yard, TENANTS};
-use fleet::{Shown, Status};
+use fleet::{MemberStatus, Status};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::time::Duration;
@@ -58,17 +58,17 @@
             return Err(format!("{what}: the views did not settle in {BOUND:?}: {}", wrong.join(", ")));
         }
     }
-    println!("{}", table(&yard.shown().await));
+    println!("{}", table(&yard.statuses().await));
     Ok(())
 }
 
 /// A row for each node: what it holds of each other.
-fn table(shown: &BTreeMap<String, Option<Shown>>) -> String {
-    let known = shown.values().flatten().flat_map(|s| &s.view.members).map(|m| &m.name);
-    let names: BTreeSet<&String> = known.chain(shown.keys()).collect();
+fn table(statuses: &BTreeMap<String, Option<Status>>) -> String {
+    let known = statuses.values().flatten().flat_map(|s| &s.view.members).map(|m| &m.name);
+    let names: BTreeSet<&String> = known.chain(statuses.keys()).collect();
     let mut out = format!("  {:6}", "");
     names.iter().for_each(|n| out += &format!("{n:>9}"));
-    for (name, told) in shown {
+    for (name, told) in statuses {
         out += &format!("\n  {name:6}");
         let Some(told) = told else {
             out += "  tells nothing";
@@ -78,15 +78,16 @@
             let m = told.view.members.iter().find(|m| m.name == ***other);
             let word = match m.map(|m| m.status) {
                 None => "unknown",
-                Some(Status::Alive) => "alive",
-                Some(Status::Suspect) => "suspect",
-                Some(Status::Draining) => "draining",
-                Some(Status::Left) => "left",
-                Some(Status::Dead) => "dead",
+                Some(MemberStatus::Alive) => "alive",
+                Some(MemberStatus::Suspect) => "suspect",
+                Some(MemberStatus::Draining) => "draining",
+                Some(MemberStatus::Left) => "left",
+                Some(MemberStatus::Dead) => "dead",
             };
             out += &format!("{word:>9}");
         }
-        out += &format!("   {} take jobs, {} may be sending", told.stand.siblings, told.stand.senders);
+        out +=
+            &format!("   {} take jobs, {} may be sending", told.fleet_size.siblings, told.fleet_size.senders);
     }
     out + "\n"
 }
--- a/rig/src/yard.rs
+++ b/rig/src/yard.rs
@@ -7,7 +7,7 @@
 use crate::relay::Relays;
 use crate::wire;
 use crate::worker::{Kind, Worker};
-use fleet::{Shown, View};
+use fleet::{Status, View};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -336,22 +336,22 @@
     }
 
     /// What each node tells, by name; `None` where it tells nothing.
-    pub async fn shown(&self) -> BTreeMap<String, Option<Shown>> {
+    pub async fn statuses(&self) -> BTreeMap<String, Option<Status>> {
         let mut calls = JoinSet::new();
         for (i, process) in self.nodes.iter().enumerate() {
             let Some(at) = process.as_ref().map(|p| p.management) else { continue };
-            calls.spawn(async move { (Yard::name(i), crate::process::shown(at).await) });
+            calls.spawn(async move { (Yard::name(i), crate::process::fleet_status(at).await) });
         }
         let mut all = BTreeMap::new();
-        while let Some(Ok((name, shown))) = calls.join_next().await {
-            all.insert(name, shown);
+        while let Some(Ok((name, status))) = calls.join_next().await {
+            all.insert(name, status);
         }
         all
     }
 
     /// The views of all nodes.
     pub async fn views(&self) -> BTreeMap<String, Option<View>> {
-        self.shown().await.into_iter().map(|(n, s)| (n, s.map(|s| s.view))).collect()
+        self.statuses().await.into_iter().map(|(n, s)| (n, s.map(|s| s.view))).collect()
     }
 
     /// The truth where these nodes run, in one part.
--- a/rig/tests/emulated.rs
+++ b/rig/tests/emulated.rs
@@ -1,6 +1,6 @@
 //! The fleet's machines in emulated time: hard cases one by one, then random schedules against a plain model.
 
-use fleet::{Note, Status, Timing};
+use fleet::{MemberStatus, MembershipEvent, Timing};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rig::check::Truth;
@@ -32,7 +32,7 @@
     }
 }
 
-fn status(world: &World, viewer: usize, of: usize) -> Option<Status> {
+fn status(world: &World, viewer: usize, of: usize) -> Option<MemberStatus> {
     world.view(viewer)?.members.iter().find(|m| m.name == name(of)).map(|m| m.status)
 }
 
@@ -46,7 +46,10 @@
     world.start(3);
     settled(&mut world, 10 * S);
     assert!(world.view(3).unwrap().incarnation > before);
-    assert!(world.notes.iter().all(|(_, _, note)| !matches!(note, Note::Down(_))), "nobody held it dead");
+    assert!(
+        world.events.iter().all(|(_, _, note)| !matches!(note, MembershipEvent::Down(_))),
+        "nobody held it dead"
+    );
 }
 
 #[test]
@@ -54,7 +57,7 @@
     let mut world = fleet(12, 2);
     (0..4).for_each(|i| world.kill(i)); // all seeds are among them
     settled(&mut world, 40 * S);
-    assert_eq!(status(&world, 9, 0), Some(Status::Dead));
+    assert_eq!(status(&world, 9, 0), Some(MemberStatus::Dead));
     (0..12).for_each(|i| world.kill(i));
     world.run(S);
     (0..12).for_each(|i| world.start(i));
@@ -86,7 +89,7 @@
     // Others reach it for those that can't: nobody drops it.
     for _ in 0..30 {
         world.run(S);
-        assert!((1..9).all(|i| status(&world, i, 0).is_some_and(Status::there)));
+        assert!((1..9).all(|i| status(&world, i, 0).is_some_and(MemberStatus::is_present)));
     }
     world.rules.heal();
     for to in 1..9 {
@@ -102,10 +105,10 @@
     let mut world = fleet(10, 5);
     world.rules.everywhere(Rule { loss: 0.2, twice: 0.1, jitter_ms: 50, ..Rule::default() });
     world.run(60 * S);
-    let deaths = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Down(_))).count();
+    let deaths = world.events.iter().filter(|(_, _, n)| matches!(n, MembershipEvent::Down(_))).count();
     assert!(deaths <= 9, "{deaths} times somebody was held dead: more than one wrong death, told to all");
     // Guards those that refuted a suspicion against being told that they are dead all the same.
-    let returns = world.notes.iter().filter(|(_, _, n)| matches!(n, Note::Returned(_))).count();
+    let returns = world.events.iter().filter(|(_, _, n)| matches!(n, MembershipEvent::Returned(_))).count();
     assert!(returns <= deaths, "{returns} came back, of {deaths} told deaths");
     world.rules.heal();
     settled(&mut world, 20 * S);
@@ -117,14 +120,18 @@
     world.stop(5);
     let truth = world.truth();
     world.until(40 * S, &truth).unwrap();
-    assert_eq!(status(&world, 0, 5), Some(Status::Dead));
+    assert_eq!(status(&world, 0, 5), Some(MemberStatus::Dead));
     world.run(30 * S);
-    world.notes.clear();
+    world.events.clear();
     world.go_on(5);
     settled(&mut world, 20 * S);
-    assert!(world.notes.iter().any(|(_, i, n)| *i == 5 && matches!(n, Note::Returned(_))));
+    assert!(world.events.iter().any(|(_, i, n)| *i == 5 && matches!(n, MembershipEvent::Returned(_))));
     // What others did not answer while it stood still is not held against them.
-    assert!(world.notes.iter().all(|(_, _, n)| !matches!(n, Note::Down(_))), "{:?}", world.notes);
+    assert!(
+        world.events.iter().all(|(_, _, n)| !matches!(n, MembershipEvent::Down(_))),
+        "{:?}",
+        world.events
+    );
 }
 
 /// Guards the living against a process that stood still while it suspected one of them, and had no ear for its answer.
@@ -140,16 +147,17 @@
         world.rules.heal();
         world.stop(3);
         world.run(S * 81 / 20);
-        world.notes.clear();
+        world.events.clear();
         world.go_on(3);
         world.run(S / 50);
-        let down = |(_, i, n): &(Duration, usize, Note)| *i == 3 && matches!(n, Note::Down(_));
-        assert!(!world.notes.iter().any(down), "seed {seed}: {:?}", world.notes);
+        let down =
+            |(_, i, n): &(Duration, usize, MembershipEvent)| *i == 3 && matches!(n, MembershipEvent::Down(_));
+        assert!(!world.events.iter().any(down), "seed {seed}: {:?}", world.events);
     }
 }
 
 fn suspects(world: &World, i: usize) -> bool {
-    world.view(i).unwrap().members.iter().any(|m| m.status == Status::Suspect)
+    world.view(i).unwrap().members.iter().any(|m| m.status == MemberStatus::Suspect)
 }
 
 /// Guards the halves of a partition where no seed is there to bring them together.
@@ -162,7 +170,7 @@
     let parts: Vec<u32> = (0..9).map(|i| i % 2).collect();
     world.rules.part(&parts);
     world.run(40 * S);
-    assert_eq!(status(&world, 1, 2), Some(Status::Dead));
+    assert_eq!(status(&world, 1, 2), Some(MemberStatus::Dead));
     world.rules.heal();
     settled(&mut world, 40 * S);
 }
@@ -191,15 +199,15 @@
     let mut world = World::new(Spec { nodes: 8, seed: 7, ..Spec::default() });
     (0..7).for_each(|i| world.start(i));
     world.run(20 * S);
-    world.notes.clear();
+    world.events.clear();
     world.start_as(7, &name(4));
     world.run(20 * S);
     let yielded = |world: &World, i: usize| world.view(i).unwrap().yielded_to;
     assert_eq!((yielded(&world, 4), yielded(&world, 7)), (Some(address(7)), None));
     let said: Vec<usize> = world
-        .notes
+        .events
         .iter()
-        .filter(|(_, _, n)| matches!(n, Note::Rival(_) | Note::Yielded(_)))
+        .filter(|(_, _, n)| matches!(n, MembershipEvent::NameConflict(_) | MembershipEvent::Yielded(_)))
         .map(|(_, i, _)| *i)
         .collect();
     assert!(said.contains(&4), "{said:?}");
@@ -208,7 +216,7 @@
         (line.address, line.incarnation, line.status)
     };
     let first = seen(&world, 0);
-    assert_eq!((first.0, first.2), (address(7), Status::Alive));
+    assert_eq!((first.0, first.2), (address(7), MemberStatus::Alive));
     for _ in 0..60 {
         world.run(S);
         assert!((0..7).filter(|i| *i != 4).all(|i| seen(&world, i) == first), "a view flaps");
@@ -241,12 +249,12 @@
     let mut world = fleet(8, 9);
     world.with(3, |m, now| m.phase(now, true));
     world.run(5 * S);
-    assert!((0..8).all(|i| status(&world, i, 3) == Some(Status::Draining)));
+    assert!((0..8).all(|i| status(&world, i, 3) == Some(MemberStatus::Draining)));
     world.leave(3);
     settled(&mut world, 10 * S);
-    assert!((0..8).filter(|i| *i != 3).all(|i| status(&world, i, 3) == Some(Status::Left)));
-    assert!(world.notes.iter().all(|(_, _, n)| !matches!(n, Note::Down(_))));
-    let senders = world.with(0, |m, now| m.stand(now, 1).senders).unwrap();
+    assert!((0..8).filter(|i| *i != 3).all(|i| status(&world, i, 3) == Some(MemberStatus::Left)));
+    assert!(world.events.iter().all(|(_, _, n)| !matches!(n, MembershipEvent::Down(_))));
+    let senders = world.with(0, |m, now| m.fleet_size(now, 1).senders).unwrap();
     assert_eq!(senders, 7, "who left sends no more");
 }
 
@@ -283,7 +291,7 @@
     let names: Vec<String> = (0..6).map(name).collect();
     let truth = Truth::whole(names.iter().map(String::as_str));
     world.until(10 * S, &truth).unwrap();
-    let refused = |world: &World| (0..6).map(|i| world.figures(i).refused.seal).sum::<u64>();
+    let refused = |world: &World| (0..6).map(|i| world.counters(i).refused.seal).sum::<u64>();
     assert!(refused(&world) > 0, "what the one with the wrong key sends");
     world.rules.everywhere(Rule { mutated: 0.1, ..Rule::default() });
     let mut rng = SmallRng::seed_from_u64(11);
@@ -294,7 +302,7 @@
         world.run(S / 10);
     }
     assert_eq!(world.faults(&truth), []);
-    let refused = world.figures(0).refused;
+    let refused = world.counters(0).refused;
     assert!(refused.oversized > 0 && refused.malformed > 0, "{refused:?}");
 }
 
@@ -323,7 +331,7 @@
     }
     world.run(10 * S);
     assert_eq!((world.faults(&truth), lives(&world)), (vec![], before));
-    assert!(world.figures(0).refused.replayed > 100);
+    assert!(world.counters(0).refused.replayed > 100);
 }
 
 /// The drawn faults of one schedule, and a plain model of them: who runs, and who can talk to whom.
@@ -378,9 +386,9 @@
                 for dead in (0..n).filter(|d| killed[*d]) {
                     let Some(line) = view.members.iter().find(|m| m.name == name(dead)) else { continue };
                     // A later life may be news here where it was led, and ended, behind a cut.
-                    let risen = line.status.there() && line.incarnation <= buried[viewer][dead];
+                    let risen = line.status.is_present() && line.incarnation <= buried[viewer][dead];
                     assert!(!risen, "seed {seed}: {dead} rose from the dead at {viewer}");
-                    if !line.status.there() {
+                    if !line.status.is_present() {
                         buried[viewer][dead] = line.incarnation;
                     }
                 }
