Move the fleet crate's tests to fleet/tests

The tests stood in the source files and reached into private state, so they had to change with every move of code. They now use the public interface. For that the modules fragments, packet, session and state_sync are public, as the wire format of a protocol crate, and KeyError and ConfigError have an accessor for the line.

--- a/fleet/src/fragments.rs
+++ b/fleet/src/fragments.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 /// Payload of one fragment, in bytes.
-pub(crate) const FRAGMENT_MAX: usize = 1200;
+pub const FRAGMENT_MAX: usize = 1200;
 /// Longest message of another subsystem, in bytes.
 pub const MESSAGE_MAX: usize = 64 * 1024;
 /// Incomplete messages held at once; the oldest is evicted for a new one.
-const INCOMPLETE_MAX: usize = 32;
+pub const INCOMPLETE_MAX: usize = 32;
 /// Age at which an incomplete message is lost.
 const REASSEMBLY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One fragment of a message. The order of the fields is part of the datagram format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Fragment {
+pub struct Fragment {
     /// Position in the message, from 0.
     pub index: u16,
     /// Fragments that the message consists of.
@@ -25,7 +25,7 @@
 }
 
 /// Splits a message into fragments, in order. An empty message is one empty fragment.
-pub(crate) fn split(message: &[u8]) -> impl Iterator<Item = Fragment> + '_ {
+pub fn split(message: &[u8]) -> impl Iterator<Item = Fragment> + '_ {
     let count = message.len().div_ceil(FRAGMENT_MAX).max(1);
     (0..count).map(move |index| {
         let start = index * FRAGMENT_MAX;
@@ -44,7 +44,7 @@
 ///
 /// Guards memory: at most [`INCOMPLETE_MAX`] messages of [`MESSAGE_MAX`] bytes are held, whatever arrives.
 #[derive(Default)]
-pub(crate) struct Reassembler(HashMap<(u64, u64), Incomplete>);
+pub struct Reassembler(HashMap<(u64, u64), Incomplete>);
 
 impl Reassembler {
     /// Adds a fragment and returns the message once it is complete. A fragment that is invalid or was received before
@@ -74,6 +74,11 @@
         Some(complete.fragments.into_iter().flatten().flatten().collect())
     }
 
+    /// Number of incomplete messages.
+    pub fn incomplete(&self) -> usize {
+        self.0.len()
+    }
+
     /// Makes room for one more message: drops expired ones, and the oldest if that is not enough.
     fn make_room(&mut self, now: Duration) {
         if self.0.len() < INCOMPLETE_MAX {
@@ -89,35 +94,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn fragment(index: u16, count: u16, bytes: Vec<u8>) -> Fragment {
-        Fragment { index, count, bytes }
-    }
-
-    #[test]
-    fn a_message_is_complete_once_all_fragments_have_arrived_in_any_order() {
-        let (mut reassembler, s) = (Reassembler::default(), Duration::from_secs(1));
-        assert_eq!(reassembler.insert(s, 1, 1, fragment(0, 1, vec![9])), Some(vec![9]));
-        assert_eq!(reassembler.insert(s, 1, 2, fragment(2, 3, vec![3])), None);
-        assert_eq!(reassembler.insert(s, 1, 2, fragment(0, 3, vec![1])), None);
-        assert_eq!(reassembler.insert(s, 1, 2, fragment(0, 3, vec![7])), None, "twice");
-        assert_eq!(reassembler.insert(s, 2, 2, fragment(1, 3, vec![8])), None, "of another process");
-        assert_eq!(reassembler.insert(s, 1, 2, fragment(1, 3, vec![2])), Some(vec![1, 2, 3]));
-    }
-
-    #[test]
-    fn fragments_that_never_complete_a_message_are_bounded() {
-        let mut reassembler = Reassembler::default();
-        for i in 0..1000 {
-            let now = Duration::from_millis(i);
-            assert_eq!(reassembler.insert(now, i, i, fragment(0, 2, vec![0; FRAGMENT_MAX])), None);
-            assert_eq!(reassembler.insert(now, i, i, fragment(3, 2, vec![0])), None, "no such piece");
-            assert_eq!(reassembler.insert(now, i, i, fragment(0, 999, vec![0])), None, "too many");
-        }
-        assert!(reassembler.0.len() <= INCOMPLETE_MAX);
-    }
-}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,25 +1,25 @@
-//! A view of the fleet that the nodes keep themselves: who is there, who is suspected, who has left and who is dead.
+//! Fleet membership that the nodes keep themselves: which nodes are alive, suspected, draining, left or dead.
 //!
-//! [`Machine`] has no I/O, clock or thread of its own: datagrams, timers and what the node is told go in with the time,
-//! and [`Action`]s come out. So the same code runs over sockets and in emulated time. Underneath is SWIM with suspicion
-//! and refutation, from the `foca` crate; over it names, incarnations, zones, leaving on purpose, sealed messages that
-//! can't be replayed, and contact with members held dead, so that two halves of a partition find each other again.
+//! [`Machine`] has no I/O, clock or thread of its own: datagrams, the time and requests of the node are its input,
+//! [`Action`]s its output. So the same code runs over sockets and in emulated time. It does SWIM with suspicion and
+//! refutation (the `foca` crate), and above it names, incarnations, zones, leaving on purpose, authenticated messages with
+//! replay protection, and contact with members held dead, so that the halves of a partition find each other again.
 //!
-//! The view is each node's own and for some seconds differs from the others': nothing that must be exclusive may hang
-//! on it.
+//! Each node has its own view, and views differ for some seconds after a change: nothing that must be exclusive may depend
+//! on them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod codec;
 pub mod file;
 mod fleet_size;
-mod fragments;
+pub mod fragments;
 pub mod keys;
 mod machine;
 mod member;
-mod packet;
-mod session;
-mod state_sync;
+pub mod packet;
+pub mod session;
+pub mod state_sync;
 mod status;
 
 pub use fleet_size::{FleetSize, OtherMembers};
--- a/fleet/src/packet.rs
+++ b/fleet/src/packet.rs
@@ -19,7 +19,7 @@
 
 /// Content of a datagram.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Packet {
+pub struct Packet {
     /// Hash of the fleet's name. Guards against another fleet that was given the same key by mistake.
     pub fleet: u64,
     /// Sending process.
@@ -36,7 +36,7 @@
 
 /// Body of a datagram. The order of the variants is part of the format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Body {
+pub enum Body {
     /// Challenge to a process that has no session here, with a nonce to return.
     Challenge(u64),
     /// Response to a challenge: the nonce, and the last body sent, which was not accepted before.
@@ -57,7 +57,7 @@
 
 /// Reason for which bytes were rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum DecodeError {
+pub enum DecodeError {
     /// Longer than allowed.
     Oversized,
     /// Of another version of the format.
@@ -69,7 +69,7 @@
 }
 
 /// Encodes and authenticates a message.
-pub(crate) fn encode<T: Serialize>(keys: &Keys, message: &T) -> Vec<u8> {
+pub fn encode<T: Serialize>(keys: &Keys, message: &T) -> Vec<u8> {
     let start = vec![MAGIC[0], MAGIC[1], VERSION];
     // Fails only for types that can't be serialized at all.
     let mut bytes = postcard::to_extend(message, start).unwrap_or_default();
@@ -78,11 +78,11 @@
 }
 
 /// Verifies and decodes a message of at most `max` bytes. Checks the cheap reasons for rejection first.
-pub(crate) fn decode<T: for<'a> Deserialize<'a>>(
-    keys: &Keys,
-    bytes: &[u8],
-    max: usize,
-) -> Result<T, DecodeError> {
+///
+/// # Errors
+///
+/// Returns the reason for which the bytes were rejected.
+pub fn decode<T: for<'a> Deserialize<'a>>(keys: &Keys, bytes: &[u8], max: usize) -> Result<T, DecodeError> {
     if bytes.len() > max {
         return Err(DecodeError::Oversized);
     }
--- a/fleet/src/state_sync.rs
+++ b/fleet/src/state_sync.rs
@@ -12,11 +12,11 @@
 /// Longest frame, in bytes: a state of about 10,000 members.
 pub const FRAME_MAX: usize = 1 << 20;
 /// Most members in one state.
-pub(crate) const MEMBERS_MAX: usize = 10_000;
+pub const MEMBERS_MAX: usize = 10_000;
 
 /// State of one side, in either direction.
 #[derive(Serialize, Deserialize)]
-pub(crate) struct FullState {
+pub struct FullState {
     /// Hash of the fleet's name.
     pub fleet: u64,
     /// Sending process.
--- /dev/null
+++ b/fleet/tests/keys.rs
@@ -0,0 +1,64 @@
+//! Key files and message authentication.
+
+use fleet::keys::Keys;
+
+const OLD: &str = "00112233445566778899aabbccddeeff";
+const NEW: &str = "ffeeddccbbaa99887766554433221100";
+
+fn keys(text: &str) -> Keys {
+    Keys::parse(text).unwrap()
+}
+
+#[test]
+fn a_change_of_keys_leaves_no_moment_without_talk() {
+    // Told first as one that opens only, then as the one that seals, then alone.
+    let steps = [
+        format!("current {OLD}"),
+        format!("current {OLD}\nprevious {NEW} # next week's"),
+        format!("previous {OLD}\ncurrent {NEW}"),
+        format!("# the new one\n\ncurrent {NEW}\n"),
+    ];
+    let steps: Vec<Keys> = steps.iter().map(|s| keys(s)).collect();
+    for pair in steps.windows(2) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let mut message = b"hello".to_vec();
+            pair[from].seal(&mut message);
+            assert_eq!(pair[to].open(&message), Some(&b"hello"[..]));
+        }
+    }
+    let mut message = b"hello".to_vec();
+    steps[0].seal(&mut message);
+    assert_eq!(steps[3].open(&message), None);
+}
+
+#[test]
+fn what_was_changed_on_the_way_does_not_open() {
+    let keys = keys(&format!("current {OLD}"));
+    let mut message = b"hello".to_vec();
+    keys.seal(&mut message);
+    for i in 0..message.len() {
+        for bit in 0..8 {
+            let mut bad = message.clone();
+            bad[i] ^= 1 << bit;
+            assert_eq!(keys.open(&bad), None);
+        }
+        assert_eq!(keys.open(&message[..i]), None);
+    }
+}
+
+#[test]
+fn a_bad_key_file_is_told_by_its_line() {
+    for (text, line) in [
+        ("", 1),
+        ("# nothing\n\n", 2),
+        ("current\n", 1),
+        ("current 00112233445566778899aabbccddee", 1),
+        ("current 00112233445566778899aabbccddeefg", 1),
+        (&format!("current {OLD}\ncurrent {NEW}"), 2),
+        (&format!("current {OLD}\nnext {NEW}"), 2),
+        (&format!("previous {OLD}"), 1),
+    ] {
+        let Err(bad) = Keys::parse(text) else { panic!("{text}") };
+        assert_eq!(bad.line(), line, "{text}: {bad}");
+    }
+}
