Split the fleet's machine into modules of one job each

machine.rs held sessions, probing, state synchronization and the decoding of messages in one type of 40 methods and 45 fields. It is now a root of 170 lines and fourteen modules of 56 to 167 lines: datagrams, gossip, probing, participation, sync, effects, members, view, timers, resend, swim, action, config and counters. The table of members, the timers with the stall correction, the bodies kept for a challenge and the limit on responses are types of their own.

--- /dev/null
+++ b/fleet/src/machine/datagrams.rs
@@ -0,0 +1,145 @@
+//! Datagrams: authentication, replay protection and dispatch of those received, encoding of those sent.
+
+use super::{Action, Machine, Participation};
+use crate::fragments::{split, MESSAGE_MAX};
+use crate::packet::{decode, encode, Body, Packet, DATAGRAM_MAX, RATES_MAX};
+use crate::session::Admission;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Machine {
+    /// Handles a received datagram, whatever it holds. One that is invalid is counted and ignored.
+    pub fn datagram(&mut self, now: Duration, bytes: &[u8]) {
+        let now = self.timers.advance(now);
+        let packet: Packet = match decode(&self.config.keys, bytes, DATAGRAM_MAX) {
+            Ok(packet) => packet,
+            Err(error) => return self.counters.refused.count(error),
+        };
+        if packet.fleet != self.fleet || packet.to != self.config.advertise || packet.boot == self.boot {
+            self.counters.refused.astray += 1;
+            return;
+        }
+        self.handle_packet(now, packet, bytes.len());
+        self.apply_effects(now);
+    }
+
+    /// Sends the rates of tenants to another node; to none if that node is not present. Rates in excess of
+    /// [`RATES_MAX`] are dropped.
+    pub fn send_rates(&mut self, now: Duration, to: &str, mut rates: Vec<(u64, u16)>) {
+        let now = self.timers.advance(now);
+        let to = self.members.get_present(to).map(|member| member.identity.address);
+        if let Some(to) = to.filter(|_| self.participation == Participation::Active) {
+            rates.truncate(RATES_MAX);
+            self.send(now, to, Body::Rates(self.config.name.clone(), rates));
+        }
+    }
+
+    /// Sends a message of another subsystem to the node at an address, whatever the view holds of it. Delivery is not
+    /// guaranteed, and a message longer than [`MESSAGE_MAX`] is not sent.
+    pub fn send_message(&mut self, now: Duration, to: SocketAddr, bytes: &[u8]) {
+        let now = self.timers.advance(now);
+        if bytes.len() > MESSAGE_MAX || self.participation == Participation::Left {
+            return;
+        }
+        self.messages_sent += 1;
+        for fragment in split(bytes) {
+            self.send(now, to, Body::Fragment(self.messages_sent, fragment));
+        }
+    }
+
+    /// Encodes and sends a body, and keeps it for a challenge.
+    pub(super) fn send(&mut self, now: Duration, to: SocketAddr, body: Body) {
+        // Challenges and their responses are not sent again: they answer one datagram of the receiver.
+        if !matches!(body, Body::Challenge(_) | Body::Proof(..)) {
+            self.resend.push(now, to, body.clone());
+        }
+        self.packets_sent += 1;
+        let packet = Packet {
+            fleet: self.fleet,
+            boot: self.boot,
+            from: self.config.advertise,
+            to,
+            number: self.packets_sent,
+            body,
+        };
+        let bytes = encode(&self.config.keys, &packet);
+        self.counters.sent += 1;
+        self.counters.sent_bytes += bytes.len() as u64;
+        self.actions.push_back(Action::Send { to, bytes });
+    }
+
+    /// Handles a packet that is for this node, as its session admits.
+    fn handle_packet(&mut self, now: Duration, packet: Packet, length: usize) {
+        let Packet { boot, from, number, body, .. } = packet;
+        match body {
+            Body::Challenge(nonce) => self.respond_to_challenge(now, from, nonce),
+            Body::Proof(nonce, again) => {
+                if !self.sessions.complete_challenge(now, boot, number, nonce) {
+                    self.counters.refused.replayed += 1;
+                } else if let Some(body) = again {
+                    self.handle_body(now, boot, from, *body, length);
+                }
+            }
+            body => {
+                let rng = &mut self.rng;
+                match self.sessions.admit(now, boot, number, || rng.random()) {
+                    Admission::Accepted => self.handle_body(now, boot, from, body, length),
+                    Admission::Replayed => self.counters.refused.replayed += 1,
+                    Admission::Challenge(nonce) => {
+                        self.counters.refused.unproven += 1;
+                        self.send(now, from, Body::Challenge(nonce));
+                    }
+                    Admission::ChallengePending => self.counters.refused.unproven += 1,
+                }
+            }
+        }
+    }
+
+    /// Returns a nonce, to prove that this process runs, with the last body sent to that receiver.
+    fn respond_to_challenge(&mut self, now: Duration, to: SocketAddr, nonce: u64) {
+        if self.responses.acquire(now) {
+            let again = self.resend.take(now, to).map(Box::new);
+            self.send(now, to, Body::Proof(nonce, again));
+        }
+    }
+
+    /// Handles an accepted body.
+    fn handle_body(&mut self, now: Duration, boot: u64, from: SocketAddr, body: Body, length: usize) {
+        self.counters.received += 1;
+        self.counters.received_bytes += length as u64;
+        if self.participation == Participation::Left {
+            return;
+        }
+        match body {
+            Body::Gossip(digest, data) => self.handle_gossip(now, boot, from, digest, &data),
+            Body::IdentityRequest => {
+                if self.participation == Participation::Active {
+                    let own = self.foca.identity().clone();
+                    self.send(now, from, Body::IdentityResponse(own));
+                }
+            }
+            Body::IdentityResponse(id) if id.boot == boot && id.is_valid() => {
+                self.handle_identity_response(now, id)
+            }
+            Body::NameConflict(id) if id.is_valid() && id.name == self.config.name => {
+                self.note_name_conflict(id)
+            }
+            Body::Rates(name, rates) if rates.len() <= RATES_MAX => self.handle_rates(boot, name, rates),
+            Body::Fragment(message, fragment) => {
+                if let Some(bytes) = self.reassembler.insert(now, boot, message, fragment) {
+                    self.actions.push_back(Action::Message { from, bytes });
+                }
+            }
+            _ => self.counters.refused.malformed += 1,
+        }
+    }
+
+    /// Passes the rates of a node on, unless they come from a process other than the member of that name.
+    fn handle_rates(&mut self, boot: u64, name: String, rates: Vec<(u64, u16)>) {
+        if self.members.get_present(&name).is_some_and(|member| member.identity.boot == boot) {
+            self.counters.rates += 1;
+            self.actions.push_back(Action::Rates { from: name, rates });
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/machine/effects.rs
@@ -0,0 +1,135 @@
+//! Carrying out the effects of `foca`, and recording the changes in its members.
+
+use super::swim::{member_status, swim_config, transmissions};
+use super::timers::Timer;
+use super::{Action, Machine, MembershipEvent, Participation};
+use crate::member::{Identity, MemberStatus, Phase};
+use crate::packet::Body;
+use std::collections::HashSet;
+use std::time::Duration;
+
+impl Machine {
+    /// Carries out all effects, until there are none left.
+    pub(super) fn apply_effects(&mut self, now: Duration) {
+        loop {
+            if let Some(rival) = self.name_conflicts.take() {
+                self.resolve_name_conflict(now, rival);
+            }
+            if std::mem::take(&mut self.effects.defunct) && self.participation == Participation::Active {
+                self.participation = Participation::DeclaredDead;
+                self.timers.schedule(now, Timer::Rejoin, self.config.timing.answer);
+            }
+            self.schedule_timers(now);
+            self.send_gossip(now);
+            // `foca` does not notify of members that it first hears of as dead.
+            let recorded = self.members.len() + self.unlisted;
+            self.effects.rescan |= self.foca.iter_membership_state().len() != recorded;
+            if self.effects.changed.is_empty() && !self.effects.rescan {
+                return;
+            }
+            self.record_changes(now);
+        }
+    }
+
+    /// Whether this timer of `foca` is to declare a member dead that has refuted its suspicion: `foca` 2.0 would notify
+    /// that member of its death all the same.
+    pub(super) fn is_refuted(&self, timer: &foca::Timer<Identity>) -> bool {
+        let foca::Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
+        !self.foca.iter_membership_state().any(|member| {
+            member.id() == member_id
+                && member.incarnation() == *incarnation
+                && member.state() == foca::State::Suspect
+        })
+    }
+
+    fn schedule_timers(&mut self, now: Duration) {
+        for (timer, after) in std::mem::take(&mut self.effects.timers) {
+            let after = match &timer {
+                foca::Timer::RemoveDown(id) => after.saturating_sub(self.death_age(&id.name)),
+                _ => after,
+            };
+            self.timers.schedule(now, Timer::Foca(timer), after);
+        }
+    }
+
+    fn send_gossip(&mut self, now: Duration) {
+        while let Some((to, data)) = self.effects.sends.pop_front() {
+            // Messages to another process of this name, or to an earlier one at this address, are of no use.
+            if to.address != self.config.advertise {
+                let body = Body::Gossip(self.view_digest(), data);
+                self.send(now, to.address, body);
+            }
+        }
+    }
+
+    /// Records the members that changed, or compares all if that is not known. Guards a large fleet, in which there
+    /// always is a change, against a comparison of all members at each.
+    fn record_changes(&mut self, now: Duration) {
+        for (id, is_up) in std::mem::take(&mut self.effects.changed) {
+            let is_up = is_up.unwrap_or_else(|| self.members.get_present(&id.name).is_some());
+            let status = match (id.phase, is_up) {
+                (Phase::Left, _) => MemberStatus::Left,
+                (_, false) => MemberStatus::Dead,
+                (Phase::Draining, true) => MemberStatus::Draining,
+                (Phase::Serving, true) => MemberStatus::Alive,
+            };
+            self.record(now, id, status);
+        }
+        if std::mem::take(&mut self.effects.rescan) {
+            self.rescan(now);
+        }
+        let members = self.members.present() + 1;
+        if transmissions(members) != transmissions(self.configured_members) {
+            self.configured_members = members;
+            let _ = self.foca.set_config(swim_config(&self.config.timing, members));
+        }
+    }
+
+    /// Compares all of `foca`'s members with the recorded ones.
+    fn rescan(&mut self, now: Duration) {
+        let (mut changed, mut listed) = (Vec::new(), 0);
+        let all = self.foca.iter_membership_state();
+        let total = all.len();
+        for member in all.filter(|member| member.id().name != self.config.name) {
+            listed += 1;
+            let status = match member_status(member) {
+                MemberStatus::Suspect => MemberStatus::Alive,
+                status => status,
+            };
+            if !self.members.is_recorded(member.id(), status) {
+                changed.push((member.id().clone(), status));
+            }
+        }
+        self.unlisted = total - listed;
+        changed.into_iter().for_each(|(id, status)| self.record(now, id, status));
+        if listed != self.members.len() {
+            self.forget_removed(now);
+        }
+    }
+
+    /// Drops the recorded members that `foca` has removed.
+    fn forget_removed(&mut self, now: Duration) {
+        let all = self.foca.iter_membership_state();
+        let names: HashSet<&str> = all.map(|member| member.id().name.as_str()).collect();
+        for name in self.members.retain_names(now, &names) {
+            self.actions.push_back(Action::Event(MembershipEvent::Forgotten(name)));
+        }
+    }
+
+    fn record(&mut self, now: Duration, id: Identity, status: MemberStatus) {
+        if id.name == self.config.name {
+            return;
+        }
+        let age = self.death_age(&id.name);
+        let event = self.members.record(now, id, status, age);
+        if matches!(event, Some(MembershipEvent::Down(_))) {
+            self.counters.deaths += 1;
+        }
+        self.actions.extend(event.map(Action::Event));
+    }
+
+    /// Age of a death that the state under application reports; zero for any other.
+    fn death_age(&self, name: &str) -> Duration {
+        self.death_ages.get(name).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/fleet/src/machine/gossip.rs
@@ -0,0 +1,76 @@
+//! Gossip: SWIM messages of other members, and the digests of views that come with them.
+
+use super::{Action, Machine, Participation};
+use crate::member::Identity;
+use crate::packet::Body;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Shortest time between two state synchronizations that this node initiates.
+const SYNC_INTERVAL: Duration = Duration::from_secs(3);
+/// Time for which two views may differ before their states are synchronized: gossip takes its time.
+const DIVERGENCE_MAX: Duration = Duration::from_secs(3);
+
+impl Machine {
+    /// Handles a SWIM message, with the digest of the sender's view.
+    pub(super) fn handle_gossip(
+        &mut self,
+        now: Duration,
+        boot: u64,
+        from: SocketAddr,
+        digest: u64,
+        data: &[u8],
+    ) {
+        if matches!(self.participation, Participation::Yielded(_)) {
+            return;
+        }
+        let Some(source) = source(data).filter(|id| id.boot == boot && id.is_valid()) else {
+            self.counters.refused.malformed += 1;
+            return;
+        };
+        if source.name == self.config.name {
+            return self.note_name_conflict(source);
+        }
+        if let Some(member) = self.members.get(&source.name) {
+            if member.identity.boot != boot && member.identity.supersedes(&source) {
+                // Nothing else in its message is used: it may be a process that was stopped and replaced meanwhile.
+                let rival = member.identity.clone();
+                return self.send(now, from, Body::NameConflict(rival));
+            }
+        }
+        // An error is a message that can't be decoded.
+        if self.foca.handle_data(data, &mut self.effects).is_err() {
+            self.counters.refused.malformed += 1;
+        }
+        self.compare_digests(now, source.address, digest);
+    }
+
+    /// Initiates a state synchronization with the node at an address, unless the last one was too recent.
+    pub(super) fn start_sync(&mut self, now: Duration, to: SocketAddr) {
+        if now >= self.next_sync_at && to != self.config.advertise {
+            self.next_sync_at = now + SYNC_INTERVAL;
+            self.actions.push_back(Action::SyncState { to });
+        }
+    }
+
+    /// Starts a state synchronization if the views have differed for too long. Guards against views that differ for good
+    /// because the gossip of a change was lost.
+    fn compare_digests(&mut self, now: Duration, peer: SocketAddr, digest: u64) {
+        if digest == self.view_digest() {
+            self.diverged_since = None;
+            return;
+        }
+        let since = *self.diverged_since.get_or_insert(now);
+        let settled = now.saturating_sub(self.members.changed_at()) >= DIVERGENCE_MAX / 2;
+        if now - since >= DIVERGENCE_MAX && settled {
+            self.start_sync(now, peer);
+        }
+    }
+}
+
+/// Identity of the sender as a SWIM message claims it. To be checked against the process that sent the datagram, so that
+/// none can send in the name of another.
+fn source(data: &[u8]) -> Option<Identity> {
+    let header = postcard::take_from_bytes::<foca::Header<Identity>>(data);
+    header.ok().map(|(header, _)| header.src)
+}
--- /dev/null
+++ b/fleet/src/machine/sync.rs
@@ -0,0 +1,134 @@
+//! State synchronization: creating and applying full states.
+
+use super::{Machine, Participation};
+use crate::member::{millis, Identity};
+use crate::packet::{decode, encode};
+use crate::state_sync::{FullState, PendingSync, FRAME_MAX, MEMBERS_MAX};
+use foca::Member;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Address and nonce of the sender of an accepted state.
+struct Accepted {
+    from: SocketAddr,
+    nonce: u64,
+}
+
+impl Machine {
+    /// Draws the nonce that an initiator has to return with its state.
+    pub fn challenge(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    /// Creates this node's state, for the responder at `to` that sent this challenge.
+    pub fn request_sync(&mut self, now: Duration, to: SocketAddr, challenge: u64) -> (PendingSync, Vec<u8>) {
+        let now = self.timers.advance(now);
+        let nonce = self.rng.random();
+        (PendingSync { nonce }, self.encode_state(now, to, challenge, nonce))
+    }
+
+    /// Applies the state of an initiator that was sent this challenge, and returns this node's state; `None` if the
+    /// initiator's is rejected.
+    pub fn answer_sync(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<Vec<u8>> {
+        let now = self.timers.advance(now);
+        let Accepted { from, nonce } = self.receive_state(now, challenge, bytes)?;
+        let response = self.encode_state(now, from, nonce, 0);
+        self.apply_effects(now);
+        Some(response)
+    }
+
+    /// Applies the state of a responder, and returns whether it was accepted.
+    pub fn finish_sync(&mut self, now: Duration, pending: PendingSync, bytes: &[u8]) -> bool {
+        let now = self.timers.advance(now);
+        let accepted = self.receive_state(now, pending.nonce, bytes).is_some();
+        self.apply_effects(now);
+        accepted
+    }
+
+    fn encode_state(&self, now: Duration, to: SocketAddr, answers: u64, nonce: u64) -> Vec<u8> {
+        let age = |member: &Member<Identity>| match self.members.get(&member.id().name) {
+            Some(known) if !known.status.is_present() => millis(now.saturating_sub(known.since)),
+            _ => 0,
+        };
+        let members = self.foca.iter_membership_state().take(MEMBERS_MAX);
+        let me = (self.participation == Participation::Active).then(|| self.foca.identity().clone());
+        let state = FullState {
+            fleet: self.fleet,
+            boot: self.boot,
+            from: self.config.advertise,
+            to,
+            answers,
+            nonce,
+            me,
+            members: members.map(|member| (member.clone(), age(member))).collect(),
+        };
+        encode(&self.config.keys, &state)
+    }
+
+    /// Decodes, validates and applies a state. `None` if it is rejected.
+    fn receive_state(&mut self, now: Duration, challenge: u64, bytes: &[u8]) -> Option<Accepted> {
+        let state: FullState = match decode(&self.config.keys, bytes, FRAME_MAX) {
+            Ok(state) => state,
+            Err(error) => {
+                self.counters.refused.count(error);
+                return None;
+            }
+        };
+        let expected =
+            state.fleet == self.fleet && state.to == self.config.advertise && state.boot != self.boot;
+        if !expected || !state.is_valid() {
+            self.counters.refused.astray += 1;
+            return None;
+        }
+        if state.answers != challenge {
+            self.counters.refused.replayed += 1;
+            return None;
+        }
+        self.counters.states += 1;
+        let accepted = Accepted { from: state.from, nonce: state.nonce };
+        if !matches!(self.participation, Participation::Yielded(_) | Participation::Left) {
+            self.apply_state(now, state);
+        }
+        Some(accepted)
+    }
+
+    fn apply_state(&mut self, now: Duration, state: FullState) {
+        let mut members = Vec::with_capacity(state.members.len() + 1);
+        for (member, age) in state.members {
+            if member.state() == foca::State::Down {
+                let age = Duration::from_millis(age);
+                // A member that is forgotten by its age is not learned again: it would circulate for ever.
+                if age >= self.config.timing.forget {
+                    continue;
+                }
+                self.death_ages.insert(member.id().name.clone(), age);
+            } else if member.id().name == self.config.name {
+                self.note_name_conflict(member.id().clone());
+            }
+            members.push(member);
+        }
+        if let Some(me) = state.me {
+            if me.name == self.config.name {
+                self.note_name_conflict(me);
+            } else {
+                members.push(Member::alive(me));
+            }
+        }
+        self.apply_members(members);
+        self.effects.rescan = true;
+        self.apply_effects(now);
+        self.death_ages.clear();
+    }
+
+    /// Passes members on to `foca`, to gossip of them unless they are dead and unknown here. Guards against a death that
+    /// circulates for ever: it is old to the others, and would become new again to each that has just forgotten it.
+    fn apply_members(&mut self, members: Vec<Member<Identity>>) {
+        let is_news = |member: &Member<Identity>| {
+            member.state() != foca::State::Down || self.members.get(&member.id().name).is_some()
+        };
+        let (news, old): (Vec<_>, Vec<_>) = members.into_iter().partition(is_news);
+        let _ = self.foca.apply_many(news.into_iter(), true, &mut self.effects);
+        let _ = self.foca.apply_many(old.into_iter(), false, &mut self.effects);
+    }
+}
--- /dev/null
+++ b/fleet/src/machine/view.rs
@@ -0,0 +1,83 @@
+//! Queries: the view of the fleet, and what is derived from it.
+
+use super::members::member_info;
+use super::swim::member_status;
+use super::{Counters, Machine, Participation};
+use crate::fleet_size::{FleetSize, OtherMembers};
+use crate::member::{Identity, MemberInfo, MemberStatus, Peer, Phase, View};
+use std::time::Duration;
+
+impl Machine {
+    /// Members that take jobs, this node included, in order of name, zone and address.
+    pub fn peers(&self) -> Vec<Peer> {
+        let present = self.members.iter().filter(|member| member.status.is_present());
+        let all = present.map(|member| &member.identity).chain([self.foca.identity()]);
+        let serving = all.filter(|id: &&Identity| id.phase == Phase::Serving);
+        let mut peers: Vec<Peer> = serving.map(Peer::of).collect();
+        peers.sort();
+        peers
+    }
+
+    /// Counters.
+    pub fn counters(&self) -> Counters {
+        Counters { sessions: self.sessions.entries() as u64, ..self.counters }
+    }
+
+    /// Digest of the members that are present and their incarnations: equal for equal views. `None` while this node is
+    /// not in the view itself.
+    pub fn digest(&self) -> Option<u64> {
+        (self.participation == Participation::Active).then(|| self.view_digest())
+    }
+
+    /// Digest of the view, whether or not this node is in it.
+    pub(super) fn view_digest(&self) -> u64 {
+        self.members.digest_with(self.foca.identity())
+    }
+
+    /// The view.
+    pub fn view(&self, now: Duration) -> View {
+        let now = self.timers.local_time(now);
+        let own = self.foca.identity();
+        let mut members: Vec<MemberInfo> = Vec::with_capacity(self.members.len() + 1);
+        for member in self.foca.iter_membership_state().filter(|member| member.id().name != own.name) {
+            let since = self.members.get(&member.id().name).map_or(now, |known| known.since);
+            members.push(member_info(member.id(), member_status(member), now.saturating_sub(since)));
+        }
+        let yielded_to = match &self.participation {
+            Participation::Yielded(rival) => Some(rival.address),
+            _ => None,
+        };
+        if yielded_to.is_none() {
+            members.push(member_info(own, self.own_status(), Duration::ZERO));
+        }
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        View {
+            fleet: self.config.fleet.clone(),
+            node: self.config.name.clone(),
+            incarnation: own.incarnation,
+            yielded_to,
+            joined: self.members.joined(),
+            members,
+        }
+    }
+
+    /// Fleet size, for the node's decisions; `planned` is the number of nodes in the settings.
+    pub fn fleet_size(&self, now: Duration, planned: u32) -> FleetSize {
+        let now = self.timers.local_time(now);
+        let members = self.members.iter();
+        let members: Vec<MemberInfo> = members
+            .map(|member| member_info(&member.identity, member.status, now.saturating_sub(member.since)))
+            .collect();
+        let joined = self.members.joined() && !matches!(self.participation, Participation::Yielded(_));
+        FleetSize::from_members(&self.config.name, &OtherMembers { members: &members, joined }, planned)
+    }
+
+    fn own_status(&self) -> MemberStatus {
+        match (&self.participation, self.foca.identity().phase) {
+            (Participation::Left, _) => MemberStatus::Left,
+            (Participation::DeclaredDead, _) => MemberStatus::Dead,
+            (_, Phase::Draining) => MemberStatus::Draining,
+            _ => MemberStatus::Alive,
+        }
+    }
+}
--- a/fleet/src/state_sync.rs
+++ b/fleet/src/state_sync.rs
@@ -35,6 +35,15 @@
     pub members: Vec<(Member<Identity>, u64)>,
 }
 
+impl FullState {
+    /// Whether its identities, and their number, are within the allowed lengths.
+    pub fn is_valid(&self) -> bool {
+        self.members.len() <= MEMBERS_MAX
+            && self.members.iter().all(|(member, _)| member.id().is_valid())
+            && self.me.as_ref().is_none_or(Identity::is_valid)
+    }
+}
+
 /// A synchronization that this node initiated and that has no response yet.
 #[derive(Debug)]
 pub struct PendingSync {
