Break the import cycle of the fleet's member and packet modules

member.rs took the hash of names from packet.rs, which takes identities from member.rs. The hash has a module of its own below both; no modules of the crate import each other now. `fleet::hash` is as before. The tests of fleet passed.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod file;
 mod fleet_size;
 pub mod fragments;
+mod hash;
 pub mod keys;
 mod machine;
 mod member;
@@ -24,8 +25,9 @@
 
 pub use fleet_size::{FleetSize, OtherMembers};
 pub use fragments::MESSAGE_MAX;
+pub use hash::hash;
 pub use machine::{Action, Config, Counters, Machine, MembershipEvent, ProcessStart, Refused, Timing};
 pub use member::{Identity, MemberInfo, MemberStatus, Peer, Phase, View, NAME_MAX};
-pub use packet::{hash, DATAGRAM_MAX, RATES_MAX};
+pub use packet::{DATAGRAM_MAX, RATES_MAX};
 pub use state_sync::{PendingSync, FRAME_MAX};
 pub use status::{SenderCounts, Status};
--- a/fleet/src/machine.rs
+++ b/fleet/src/machine.rs
@@ -23,9 +23,9 @@
 
 use crate::codec::{ConflictCodec, NameConflicts};
 use crate::fragments::Reassembler;
+use crate::hash::hash;
 use crate::keys::Keys;
 use crate::member::{Identity, Phase};
-use crate::packet::hash;
 use crate::session::Sessions;
 use foca::{Foca, NoCustomBroadcast};
 use members::MemberTable;
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -1,6 +1,6 @@
 //! Members of the fleet: identity, phase and status, and the view that lists them.
 
-use crate::packet::hash;
+use crate::hash::hash;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/fleet/src/packet.rs
+++ b/fleet/src/packet.rs
@@ -99,9 +99,3 @@
         _ => Err(DecodeError::Malformed),
     }
 }
-
-/// Hash of a name (64-bit FNV-1a), the same at every node and in every version.
-pub fn hash(text: &str) -> u64 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, step)
-}
