Name the rig's cluster, history checker, demo and plan errors by their terms

`rig::yard::Yard` is `cluster::Cluster`, `rig::acts` `history_check`, `rig::show` `demo`, `BadPlan` `PlanError`, and `What` of a fault `FaultKind`; keys of plan files stay.

--- a/node/tests/duties.rs
+++ b/node/tests/duties.rs
@@ -3,12 +3,12 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use rig::acts::violations;
+use rig::cluster::{Cluster, Duties, Spec, TENANTS};
+use rig::history_check::violations;
 use rig::load::{play, Load};
 use rig::process::call;
 use rig::relay::Rule;
 use rig::resource::Resource;
-use rig::yard::{Duties, Spec, Yard, TENANTS};
 use rustix::process::Signal;
 use serde_json::Value;
 use std::process::Command;
@@ -29,13 +29,13 @@
 }
 
 struct Stage {
-    yard: Yard,
+    yard: Cluster,
     resource: Resource,
 }
 
 async fn stage(nodes: usize, voters: usize) -> Stage {
     let spec = Spec::new(env!("CARGO_BIN_EXE_molevale"), nodes);
-    let mut yard = Yard::prepare(spec).await.unwrap();
+    let mut yard = Cluster::prepare(spec).await.unwrap();
     let resource = Resource::start(yard.spare(0)).await.unwrap();
     let errands = vec![("stamp".to_string(), resource.address, 50)];
     yard.spec.duties = Some(Duties { voters, lease_ms: LEASE_MS, lists: false, roll: false, errands });
@@ -280,13 +280,13 @@
 }
 
 /// The version of the list that a node has, and whether it asks discovery itself.
-async fn list_of(yard: &Yard, i: usize) -> Option<(u64, bool)> {
+async fn list_of(yard: &Cluster, i: usize) -> Option<(u64, bool)> {
     let lists = &yard.duties(i).await?["lists"];
     Some((lists["version"].as_u64()?, lists["asks"].as_bool()?))
 }
 
 /// Those of these nodes that ask discovery themselves; `None` where not all have this version.
-async fn asking(yard: &Yard, nodes: &[usize], version: u64) -> Option<Vec<usize>> {
+async fn asking(yard: &Cluster, nodes: &[usize], version: u64) -> Option<Vec<usize>> {
     let mut asking = Vec::new();
     for i in nodes {
         let (has, asks) = list_of(yard, *i).await?;
@@ -304,12 +304,12 @@
 async fn one_node_of_each_zone_follows_discovery_and_drains_are_kept_by_all() {
     let _place = place().await;
     let spec = Spec { workers: 4, quota: 60.0, ..Spec::new(env!("CARGO_BIN_EXE_molevale"), 8) };
-    let mut yard = Yard::prepare(spec).await.unwrap();
+    let mut yard = Cluster::prepare(spec).await.unwrap();
     yard.spec.duties =
         Some(Duties { voters: 3, lease_ms: LEASE_MS, lists: true, roll: false, errands: Vec::new() });
     (0..8).for_each(|i| yard.start_node(i).unwrap());
     let all: Vec<usize> = (0..8).collect();
-    let until_two_ask = async |yard: &Yard, nodes: &[usize]| {
+    let until_two_ask = async |yard: &Cluster, nodes: &[usize]| {
         let start = Instant::now();
         loop {
             let asking = asking(yard, nodes, yard.discovery.version()).await;
@@ -333,7 +333,7 @@
     let load = Load { rate: 40.0, length: 12 * S, seed: 5, tenants: TENANTS.map(String::from).to_vec() };
     let nodes = all.iter().map(|i| yard.listen(*i)).collect();
     let load = tokio::spawn(play(load, nodes));
-    let sent = |yard: &Yard, n: usize| {
+    let sent = |yard: &Cluster, n: usize| {
         let seen = yard.workers[n].as_ref().map(|w| w.0.seen());
         seen.map_or(0, |s| s.sent.values().sum::<u64>())
     };
@@ -371,12 +371,12 @@
 async fn a_roll_takes_all_nodes_through_a_restart_and_loses_no_job() {
     let _place = place().await;
     let spec = Spec { workers: 5, quota: 60.0, ..Spec::new(env!("CARGO_BIN_EXE_molevale"), 10) };
-    let mut yard = Yard::prepare(spec).await.unwrap();
+    let mut yard = Cluster::prepare(spec).await.unwrap();
     yard.spec.duties =
         Some(Duties { voters: 3, lease_ms: LEASE_MS, lists: false, roll: true, errands: Vec::new() });
     (0..10).for_each(|i| yard.start_node(i).unwrap());
-    yard.settled(&Yard::truth(0..10), BOUND).await.unwrap();
-    let begun = |yard: &Yard, arguments: &[&str]| {
+    yard.settled(&Cluster::truth(0..10), BOUND).await.unwrap();
+    let begun = |yard: &Cluster, arguments: &[&str]| {
         let at = yard.nodes[9].as_ref().unwrap().management.to_string();
         run(&[&["fleet", "roll", &at], arguments].concat()).0 == Some(0)
     };
@@ -403,7 +403,8 @@
         }
         // In the middle the holder dies, and is started anew by whoever runs it.
         if let (Some(holder), None, true) = (holder, killed, restarted.len() >= 4) {
-            if progress.as_ref().is_some_and(|p| p.under_way.iter().all(|(n, _)| *n != Yard::name(holder))) {
+            if progress.as_ref().is_some_and(|p| p.under_way.iter().all(|(n, _)| *n != Cluster::name(holder)))
+            {
                 yard.kill(holder);
                 yard.start_node(holder).unwrap();
                 killed = Some(holder);
--- a/rig/src/yard.rs
+++ b/rig/src/cluster.rs
@@ -1,5 +1,5 @@
-//! A whole fleet of real processes on loopback addresses of its own: nodes, workers, discovery, and relays between the
-//! nodes. All of it ends with the value.
+//! Cluster under test: a fleet of real processes on loopback addresses of its own, with workers, discovery and relays between
+//! the nodes. All processes end when the value is dropped.
 
 use crate::check::{faults, Fault, Truth};
 use crate::discovery::Discovery;
@@ -18,16 +18,16 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
-/// The key that the yard's fleets share.
+/// Key that all fleets under test share.
 pub const KEY: &str = "current 0f1e2d3c4b5a69788796a5b4c3d2e1f00f1e2d3c4b5a69788796a5b4c3d2e1f0\n";
 /// Nodes at most: one address for each and one for its relay, in one block.
 pub const NODES_MAX: usize = 100;
 /// Between two looks at the views.
 const LOOK: Duration = Duration::from_millis(100);
-/// Held while a block of addresses is in use, so that no two yards share one.
+/// Held while a block of addresses is in use, so that no two clusters share one.
 const LOCK_PORT: u16 = 7900;
 
-/// What a yard is made of.
+/// What a cluster is made of.
 #[derive(Clone, Debug)]
 pub struct Spec {
     /// The program.
@@ -50,7 +50,7 @@
     pub duties: Option<Duties>,
 }
 
-/// The duties of a yard's nodes. The first `voters` of them vote.
+/// The duties of a cluster's nodes. The first `voters` of them vote.
 #[derive(Clone, Debug)]
 pub struct Duties {
     /// 3 or 5.
@@ -88,11 +88,11 @@
     }
 }
 
-/// The tenants of the yard's settings.
+/// The tenants of the cluster's settings.
 pub const TENANTS: [&str; 2] = ["primorje-spedicija", "savinja-logistika"];
 
-/// A fleet of real processes.
-pub struct Yard {
+/// A fleet of real processes with its workers, discovery and relays.
+pub struct Cluster {
     /// What it is made of.
     pub spec: Spec,
     /// The nodes' processes; `None` where none runs.
@@ -115,18 +115,18 @@
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-impl Yard {
+impl Cluster {
     /// Starts everything.
-    pub async fn start(spec: Spec) -> io::Result<Yard> {
-        let mut yard = Yard::prepare(spec).await?;
-        for i in 0..yard.spec.nodes {
-            yard.start_node(i)?;
+    pub async fn start(spec: Spec) -> io::Result<Cluster> {
+        let mut cluster = Cluster::prepare(spec).await?;
+        for i in 0..cluster.spec.nodes {
+            cluster.start_node(i)?;
         }
-        Ok(yard)
+        Ok(cluster)
     }
 
     /// Starts all but the nodes.
-    pub async fn prepare(spec: Spec) -> io::Result<Yard> {
+    pub async fn prepare(spec: Spec) -> io::Result<Cluster> {
         let too_many = || io::Error::new(io::ErrorKind::InvalidInput, format!("at most {NODES_MAX} nodes"));
         (1..=NODES_MAX).contains(&spec.nodes).then_some(()).ok_or_else(too_many)?;
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -139,7 +139,7 @@
         let hosts: Vec<SocketAddr> = (0..spec.nodes).map(|i| at(i, 7946)).collect();
         let relays = Relays::start(&fronts, &hosts, spec.seed).await?;
         let discovery = Discovery::start(at(250, 8500), Vec::new()).await?;
-        let mut yard = Yard {
+        let mut cluster = Cluster {
             nodes: (0..spec.nodes).map(|_| None).collect(),
             before: Vec::new(),
             relays,
@@ -152,11 +152,11 @@
             _lock,
             spec,
         };
-        for _ in 0..yard.spec.workers {
-            yard.add_worker(false).await?;
+        for _ in 0..cluster.spec.workers {
+            cluster.add_worker(false).await?;
         }
-        yard.list();
-        Ok(yard)
+        cluster.list();
+        Ok(cluster)
     }
 
     /// The name of a node.
@@ -181,7 +181,7 @@
 
     /// The state folder of a node.
     pub fn state(&self, i: usize) -> PathBuf {
-        self.folder.join(Yard::name(i)).join("state")
+        self.folder.join(Cluster::name(i)).join("state")
     }
 
     /// An address for a stand-in of the test's own.
@@ -196,20 +196,20 @@
         serde_json::from_slice(&body).ok().filter(|_| status == 200)
     }
 
-    /// What belongs to the yard; gone with it.
+    /// What belongs to the cluster; gone with it.
     pub fn folder(&self) -> &Path {
         &self.folder
     }
 
-    /// Starts a process for a node: anew, or beside one that runs, which is then in [`Yard::before`].
+    /// Starts a process for a node: anew, or beside one that runs, which is then in [`Cluster::before`].
     pub fn start_node(&mut self, i: usize) -> io::Result<()> {
-        self.start_as(i, &Yard::name(i))
+        self.start_as(i, &Cluster::name(i))
     }
 
     /// The same, under another name.
     pub fn start_as(&mut self, i: usize, name: &str) -> io::Result<()> {
         self.starts += 1;
-        let folder = self.folder.join(Yard::name(i));
+        let folder = self.folder.join(Cluster::name(i));
         std::fs::create_dir_all(&folder)?;
         let file = folder.join("fleet.toml");
         std::fs::write(&file, self.fleet_file(i))?;
@@ -231,7 +231,7 @@
         let p = self.spec.probe_ms;
         let mut duties = String::new();
         if let Some(d) = &self.spec.duties {
-            let voter = |v| format!("{{ name = \"{}\", at = \"{}\" }}", Yard::name(v), self.advertise(v));
+            let voter = |v| format!("{{ name = \"{}\", at = \"{}\" }}", Cluster::name(v), self.advertise(v));
             let voters: Vec<String> = (0..d.voters).map(voter).collect();
             let state = if i < d.voters || self.stateful.contains(&i) { "state = \"state\"\n" } else { "" };
             duties = format!(
@@ -340,7 +340,7 @@
         let mut calls = JoinSet::new();
         for (i, process) in self.nodes.iter().enumerate() {
             let Some(at) = process.as_ref().map(|p| p.management) else { continue };
-            calls.spawn(async move { (Yard::name(i), crate::process::fleet_status(at).await) });
+            calls.spawn(async move { (Cluster::name(i), crate::process::fleet_status(at).await) });
         }
         let mut all = BTreeMap::new();
         while let Some(Ok((name, status))) = calls.join_next().await {
@@ -356,7 +356,7 @@
 
     /// The truth where these nodes run, in one part.
     pub fn truth(running: impl IntoIterator<Item = usize>) -> Truth {
-        Truth { parts: running.into_iter().map(|i| (Yard::name(i), 0)).collect() }
+        Truth { parts: running.into_iter().map(|i| (Cluster::name(i), 0)).collect() }
     }
 
     /// Waits until the views are equal and true, and have been for as long as a suspicion may take. How long that took,
@@ -388,7 +388,7 @@
     }
 }
 
-impl Drop for Yard {
+impl Drop for Cluster {
     fn drop(&mut self) {
         self.nodes.clear();
         self.before.clear();
@@ -404,7 +404,7 @@
     SocketAddr::from((Ipv4Addr::new(127, block[0], block[1], host as u8 + 1), port))
 }
 
-/// A block of addresses that no other yard uses, and what holds it.
+/// A block of addresses that no other cluster uses, and what holds it.
 fn block(first: u32) -> io::Result<([u8; 2], TcpListener)> {
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
     for n in (0..512).map(|i| first.wrapping_add(i)) {
--- a/rig/src/show.rs
+++ b/rig/src/demo.rs
@@ -1,7 +1,7 @@
-//! The demonstration: what a newcomer runs first.
+//! Demonstration of the fleet (`make fleet`).
 
+use crate::cluster::{Cluster, Spec, TENANTS};
 use crate::load::{play, Load};
-use crate::yard::{Spec, Yard, TENANTS};
 use fleet::{MemberStatus, Status};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -12,24 +12,26 @@
 const BOUND: Duration = Duration::from_secs(20);
 
 /// Starts five nodes with workers and load, kills one, cuts one off, and prints what each sees.
-pub async fn demo(binary: &Path) -> Result<(), String> {
+pub async fn run(binary: &Path) -> Result<(), String> {
     let no = |e: std::io::Error| format!("cannot start {}: {e}", binary.display());
-    let mut yard = Yard::start(Spec { workers: 4, quota: 12.0, ..Spec::new(binary, 5) }).await.map_err(no)?;
+    let mut cluster =
+        Cluster::start(Spec { workers: 4, quota: 12.0, ..Spec::new(binary, 5) }).await.map_err(no)?;
     println!("Five nodes, four workers, 20 jobs a second. Each row is what one node sees of each other.\n");
-    let names = |i: &usize| Yard::name(*i);
-    settle(&yard, "all five find each other", (0..5).map(|i| (i, 0)).collect()).await?;
+    let names = |i: &usize| Cluster::name(*i);
+    settle(&cluster, "all five find each other", (0..5).map(|i| (i, 0)).collect()).await?;
     let length = Duration::from_secs(20);
     let load = Load { rate: 20.0, length, seed: 1, tenants: TENANTS.map(String::from).to_vec() };
-    let load = tokio::spawn(play(load, (0..5).map(|i| yard.listen(i)).collect()));
+    let load = tokio::spawn(play(load, (0..5).map(|i| cluster.listen(i)).collect()));
     sleep(Duration::from_secs(2)).await;
-    yard.kill(1);
-    settle(&yard, &format!("{} is killed", names(&1)), [0, 2, 3, 4].map(|i| (i, 0)).to_vec()).await?;
-    yard.relays.part(&[0, 0, 0, 0, 1]);
+    cluster.kill(1);
+    settle(&cluster, &format!("{} is killed", names(&1)), [0, 2, 3, 4].map(|i| (i, 0)).to_vec()).await?;
+    cluster.relays.part(&[0, 0, 0, 0, 1]);
     let parts = [(0, 0), (2, 0), (3, 0), (4, 1)].to_vec();
-    settle(&yard, &format!("{} is cut off from the other nodes, not from workers", names(&4)), parts).await?;
-    yard.relays.heal();
-    yard.start_node(1).map_err(no)?;
-    settle(&yard, "the cut is mended and the killed one started again", (0..5).map(|i| (i, 0)).collect())
+    settle(&cluster, &format!("{} is cut off from the other nodes, not from workers", names(&4)), parts)
+        .await?;
+    cluster.relays.heal();
+    cluster.start_node(1).map_err(no)?;
+    settle(&cluster, "the cut is mended and the killed one started again", (0..5).map(|i| (i, 0)).collect())
         .await?;
     let r = load.await.map_err(|e| e.to_string())?;
     println!(
@@ -46,19 +48,19 @@
     Ok(())
 }
 
-async fn settle(yard: &Yard, what: &str, running: Vec<(usize, u32)>) -> Result<(), String> {
-    let mut truth = Yard::truth(running.iter().map(|(i, _)| *i));
+async fn settle(cluster: &Cluster, what: &str, running: Vec<(usize, u32)>) -> Result<(), String> {
+    let mut truth = Cluster::truth(running.iter().map(|(i, _)| *i));
     for (i, part) in running {
-        truth.parts.insert(Yard::name(i), part);
+        truth.parts.insert(Cluster::name(i), part);
     }
-    match yard.settled(&truth, BOUND).await {
+    match cluster.settled(&truth, BOUND).await {
         Ok(took) => println!("{what}: equal and true after {:.1} s", took.as_secs_f64()),
         Err(wrong) => {
             let wrong: Vec<String> = wrong.iter().map(|f| f.to_string()).collect();
             return Err(format!("{what}: the views did not settle in {BOUND:?}: {}", wrong.join(", ")));
         }
     }
-    println!("{}", table(&yard.statuses().await));
+    println!("{}", table(&cluster.statuses().await));
     Ok(())
 }
 
--- a/rig/src/duties.rs
+++ b/rig/src/duties.rs
@@ -2,8 +2,8 @@
 //! clock of its own that may run fast or slow, voters have disks that live on when they die, and a stand-in resource
 //! records every act with its token.
 
-use crate::acts::Act;
 use crate::disk::MemDisk;
+use crate::history_check::Act;
 use crate::relay::Rules;
 use duties::{
     Action, Client, Errand, Fence, Figures, Holder, Lost, Note, Seat, Setup, Standing, Store, Timing, Voter,
--- a/rig/src/acts.rs
+++ b/rig/src/history_check.rs
@@ -1,34 +1,35 @@
-//! Says what is wrong with a history of acts under tokens. It knows nothing of how duties are granted.
+//! History checker: finds violations of mutual exclusion in a history of operations under fencing tokens. It knows nothing of
+//! how duties are granted.
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
-/// One act on a resource that lets only one holder act at a time.
+/// One operation on a resource that only one holder may operate on at a time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Act {
-    /// When its holder made sure that it may act, on the one true clock.
+    /// Time at which the holder checked that it may act, on one global clock.
     pub begun: Duration,
-    /// When the resource took it, or refused it.
+    /// Time at which the resource accepted or rejected it.
     pub came: Duration,
-    /// Which process acted.
+    /// Process that acted.
     pub who: String,
-    /// Under which token.
+    /// Fencing token.
     pub token: u64,
-    /// Whether the resource took it.
+    /// Whether the resource accepted it.
     pub taken: bool,
 }
 
-/// What is wrong with a history.
+/// Violation in a history.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
-    /// An act was taken under a token lower than one taken before.
+    /// An operation was accepted under a token lower than one accepted before.
     WentBack(u64, u64),
     /// Two processes acted under one token.
     Shared(u64, String, String),
-    /// A process began an act under a token after another had begun one under a later token.
+    /// A process began an operation under a token after another had begun one under a higher token.
     Overlap(u64, u64),
-    /// An act was refused though no later token had come.
+    /// An operation was rejected though no higher token had arrived.
     Refused(u64),
 }
 
@@ -43,7 +44,7 @@
     }
 }
 
-/// All that is wrong with the acts on one resource; empty where nothing is. The acts are in the order in which they came.
+/// Returns all violations in the operations on one resource, which are in the order of their arrival.
 pub fn violations(acts: &[Act]) -> Vec<Violation> {
     let mut wrong = Vec::new();
     let (mut highest, mut seen) = (0, 0);
@@ -73,30 +74,3 @@
     }
     wrong
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn act(begun: u64, came: u64, who: &str, token: u64, taken: bool) -> Act {
-        let ms = Duration::from_millis;
-        Act { begun: ms(begun), came: ms(came), who: who.into(), token, taken }
-    }
-
-    /// Each planted violation is told, and nothing else is.
-    #[test]
-    fn planted_violations_are_told() {
-        // One that stood still in the middle of its second act, and is refused.
-        let good = [act(1, 2, "a", 1, true), act(9, 10, "b", 2, true), act(3, 12, "a", 1, false)];
-        assert_eq!(violations(&good), []);
-        let with = |change: &dyn Fn(&mut Vec<Act>)| {
-            let mut acts = good.to_vec();
-            change(&mut acts);
-            violations(&acts)
-        };
-        assert_eq!(with(&|a| a[2].taken = true), [Violation::WentBack(1, 2)]);
-        assert_eq!(with(&|a| a[2].begun = Duration::from_millis(11)), [Violation::Overlap(1, 2)]);
-        assert_eq!(with(&|a| a[2].who = "c".into()), [Violation::Shared(1, "a".into(), "c".into())]);
-        assert_eq!(with(&|a| a[1].taken = false), [Violation::Refused(2)]);
-    }
-}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,12 +4,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod acts;
 pub mod check;
+pub mod cluster;
+pub mod demo;
 pub mod discovery;
 pub mod disk;
 pub mod duties;
 pub mod emulated;
+pub mod history_check;
 pub mod lists;
 pub mod load;
 pub mod measure;
@@ -17,7 +19,5 @@
 pub mod process;
 pub mod relay;
 pub mod resource;
-pub mod show;
 pub mod wire;
 pub mod worker;
-pub mod yard;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use rig::plan::{carry_out, Outcome, Plan};
-use rig::{measure, show};
+use rig::{demo, measure};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -73,7 +73,7 @@
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
-        Command::Demo { node } => runtime(show::demo(&node)),
+        Command::Demo { node } => runtime(demo::run(&node)),
         Command::Measure { nodes, plays } => {
             nodes.iter().for_each(|n| println!("{}", measure::emulated(*n, plays)));
             Ok(())
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -1,10 +1,10 @@
 //! Measures the view: how long it takes to settle and what it costs.
 
+use crate::cluster::{self, Cluster};
 use crate::duties;
 use crate::emulated::{name, Spec, World};
 use crate::lists;
 use crate::relay::Rule;
-use crate::yard::{self, Yard};
 use fleet::{MemberStatus, MembershipEvent};
 use hdrhistogram::Histogram;
 use std::fmt;
@@ -114,14 +114,15 @@
 pub async fn real(binary: &Path, nodes: usize, plays: u64) -> io::Result<Figures> {
     let mut figures = figures(nodes, plays, "real processes");
     // The times that a node has by default.
-    let mut yard = Yard::start(yard::Spec { probe_ms: 1000, ..yard::Spec::new(binary, nodes) }).await?;
+    let mut cluster =
+        Cluster::start(cluster::Spec { probe_ms: 1000, ..cluster::Spec::new(binary, nodes) }).await?;
     let fail = |wrong: Vec<crate::check::Fault>| io::Error::other(format!("not settled: {}", wrong[0]));
     let bound = Duration::from_secs(60);
-    yard.settled(&Yard::truth(0..nodes), bound).await.map_err(fail)?;
-    let ticks = |yard: &Yard| yard.nodes.iter().flatten().filter_map(|p| p.ticks()).sum::<u64>();
-    let (before, calm) = ((ticks(&yard), yard.relays.passed()), Duration::from_secs(20));
+    cluster.settled(&Cluster::truth(0..nodes), bound).await.map_err(fail)?;
+    let ticks = |cluster: &Cluster| cluster.nodes.iter().flatten().filter_map(|p| p.ticks()).sum::<u64>();
+    let (before, calm) = ((ticks(&cluster), cluster.relays.passed()), Duration::from_secs(20));
     tokio::time::sleep(calm).await;
-    let after = (ticks(&yard), yard.relays.passed());
+    let after = (ticks(&cluster), cluster.relays.passed());
     let each = nodes as f64 * calm.as_secs_f64();
     figures.messages = (after.1.datagrams - before.1.datagrams) as f64 / each;
     figures.bytes = (after.1.bytes - before.1.bytes) as f64 / each;
@@ -129,25 +130,25 @@
     for play in 0..plays {
         let victim = (play as usize * 7 + 3) % nodes;
         let killed = Instant::now();
-        yard.kill(victim);
-        let truth = Yard::truth((0..nodes).filter(|i| *i != victim));
+        cluster.kill(victim);
+        let truth = Cluster::truth((0..nodes).filter(|i| *i != victim));
         let mut first = None;
         while first.is_none() && killed.elapsed() < bound {
-            let views = yard.views().await;
+            let views = cluster.views().await;
             let dead = |v: &fleet::View| {
-                v.members.iter().any(|m| m.name == Yard::name(victim) && m.status == MemberStatus::Dead)
+                v.members.iter().any(|m| m.name == Cluster::name(victim) && m.status == MemberStatus::Dead)
             };
             first = views.values().flatten().any(dead).then(|| killed.elapsed());
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         let since = killed.elapsed();
-        let all = since + yard.settled(&truth, bound).await.map_err(fail)?;
+        let all = since + cluster.settled(&truth, bound).await.map_err(fail)?;
         figures.detected.record(ms(first.unwrap_or(all))).map_err(|e| e.to_string()).expect(NO_BOUND);
         figures.all.record(ms(all)).map_err(|e| e.to_string()).expect(NO_BOUND);
-        yard.start_node(victim)?;
-        let joined = yard.settled(&Yard::truth(0..nodes), bound).await.map_err(fail)?;
+        cluster.start_node(victim)?;
+        let joined = cluster.settled(&Cluster::truth(0..nodes), bound).await.map_err(fail)?;
         figures.joined.record(ms(joined)).map_err(|e| e.to_string()).expect(NO_BOUND);
-        let views = yard.views().await;
+        let views = cluster.views().await;
         figures.false_deaths += views
             .values()
             .flatten()
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -1,9 +1,9 @@
-//! Fault plans: what is done to which nodes when, from a TOML file, and what came of it.
+//! Fault plans: faults injected into nodes at given times, from a TOML file, and the outcome of running one.
 
 use crate::check::{Fault, Truth};
+use crate::cluster::{Cluster, Duties, Spec, NODES_MAX, TENANTS};
 use crate::load::{play, Load, Report};
 use crate::relay::Rule;
-use crate::yard::{Duties, Spec, Yard, NODES_MAX, TENANTS};
 use fleet::Status;
 use rustix::process::Signal;
 use serde::Deserialize;
@@ -39,7 +39,7 @@
     /// Between two probes of a node.
     #[serde(default = "probe")]
     pub probe_ms: u64,
-    /// What is done.
+    /// Faults.
     #[serde(default)]
     pub fault: Vec<Spanned<Step>>,
 }
@@ -52,14 +52,15 @@
     250
 }
 
-/// Something that is done at a time.
+/// A fault, at its time.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Step {
     /// When, in seconds from the load's start.
     pub at_s: f64,
-    /// What.
-    pub what: What,
+    /// Kind.
+    #[serde(rename = "what")]
+    pub kind: FaultKind,
     /// To which nodes; with `part`, who is on one side of the cut; with `link`, from whom.
     #[serde(default)]
     pub nodes: Vec<usize>,
@@ -74,10 +75,10 @@
     pub count: usize,
 }
 
-/// What is done.
+/// Kind of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum What {
+pub enum FaultKind {
     /// Kill processes.
     Kill,
     /// Start processes.
@@ -101,23 +102,34 @@
 /// Between two looks at what all nodes tell.
 const WATCH: Duration = Duration::from_millis(500);
 
-/// Why a plan was not taken: the line, from 1 on, and what is wrong there.
+/// Error in a plan: the line, from 1, and the reason.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
-#[error("line {line}: {what}")]
-pub struct BadPlan {
+#[error("line {line}: {reason}")]
+pub struct PlanError {
     line: usize,
-    what: String,
+    reason: String,
+}
+
+impl PlanError {
+    /// Line of the plan, from 1.
+    pub fn line(&self) -> usize {
+        self.line
+    }
 }
 
 impl Plan {
-    /// Reads a plan and checks it whole.
-    pub fn parse(text: &str) -> Result<Plan, BadPlan> {
+    /// Parses and validates a plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first part that is wrong, by its line.
+    pub fn parse(text: &str) -> Result<Plan, PlanError> {
         let line = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
-        let plan: Plan = toml::from_str(text).map_err(|e| BadPlan {
+        let plan: Plan = toml::from_str(text).map_err(|e| PlanError {
             line: e.span().map_or(1, |s| line(s.start)),
-            what: e.message().trim().replace('\n', " "),
+            reason: e.message().trim().replace('\n', " "),
         })?;
-        let bad = |at: usize, what: &str| Err(BadPlan { line: line(at), what: what.to_string() });
+        let bad = |at: usize, reason: &str| Err(PlanError { line: line(at), reason: reason.to_string() });
         if plan.duties && plan.nodes < 3 {
             return bad(0, "duties want 3 nodes at least, for the voters");
         }
@@ -173,10 +185,10 @@
         seed: plan.seed,
         ..Spec::new(binary, plan.nodes)
     };
-    let mut yard = Yard::start(spec).await?;
+    let mut cluster = Cluster::start(spec).await?;
     let mut running = vec![true; plan.nodes];
     if plan.fleet {
-        let all = yard.settled(&Yard::truth(0..plan.nodes), Duration::from_secs(30)).await;
+        let all = cluster.settled(&Cluster::truth(0..plan.nodes), Duration::from_secs(30)).await;
         say(&match &all {
             Ok(took) => format!("the views of {} nodes are equal and true after {took:.1?}", plan.nodes),
             Err(wrong) => format!("the views did not settle: {}", wrong[0]),
@@ -190,24 +202,24 @@
         seed: plan.seed,
         tenants: TENANTS.map(String::from).to_vec(),
     };
-    let nodes = (0..plan.nodes).map(|i| yard.listen(i)).collect();
+    let nodes = (0..plan.nodes).map(|i| cluster.listen(i)).collect();
     let (start, load) = (Instant::now(), tokio::spawn(play(load, nodes)));
     let mut steps: Vec<Step> = plan.fault.iter().map(|s| s.get_ref().clone()).collect();
     steps.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     let mut history = Vec::new();
     for step in steps {
-        watch(&yard, start, Duration::from_secs_f64(step.at_s), &mut history).await;
-        do_step(&mut yard, &mut running, &step).await?;
-        say(&format!("{:5.1} s: {:?} {:?}", step.at_s, step.what, step.nodes));
+        watch(&cluster, start, Duration::from_secs_f64(step.at_s), &mut history).await;
+        do_step(&mut cluster, &mut running, &step).await?;
+        say(&format!("{:5.1} s: {:?} {:?}", step.at_s, step.kind, step.nodes));
     }
-    watch(&yard, start, Duration::from_secs_f64(plan.length_s), &mut history).await;
+    watch(&cluster, start, Duration::from_secs_f64(plan.length_s), &mut history).await;
     let report = load.await.map_err(io::Error::other)?;
-    let truth: Truth = Yard::truth((0..plan.nodes).filter(|i| running[*i]));
+    let truth: Truth = Cluster::truth((0..plan.nodes).filter(|i| running[*i]));
     let settled = match plan.fleet {
-        true => yard.settled(&truth, Duration::from_secs(30)).await,
+        true => cluster.settled(&truth, Duration::from_secs(30)).await,
         false => Ok(Duration::ZERO),
     };
-    let seen: Vec<_> = yard.workers.iter().flatten().map(|(w, _)| w.seen()).collect();
+    let seen: Vec<_> = cluster.workers.iter().flatten().map(|(w, _)| w.seen()).collect();
     let mut keys: BTreeMap<&String, u32> = BTreeMap::new();
     seen.iter().flat_map(|s| &s.keys).for_each(|(key, n)| *keys.entry(key).or_default() += n);
     Ok(Outcome {
@@ -222,83 +234,61 @@
 
 /// Notes what each node tells, each half second until this time.
 async fn watch(
-    yard: &Yard,
+    cluster: &Cluster,
     start: Instant,
     until: Duration,
     history: &mut Vec<(Duration, BTreeMap<String, Option<Status>>)>,
 ) {
-    while yard.spec.fleet && start.elapsed() + WATCH < until {
-        history.push((start.elapsed(), yard.statuses().await));
+    while cluster.spec.fleet && start.elapsed() + WATCH < until {
+        history.push((start.elapsed(), cluster.statuses().await));
         sleep(WATCH).await;
     }
     sleep_until(start + until).await;
 }
 
-async fn do_step(yard: &mut Yard, running: &mut [bool], step: &Step) -> io::Result<()> {
+async fn do_step(cluster: &mut Cluster, running: &mut [bool], step: &Step) -> io::Result<()> {
     for i in step.nodes.iter().copied() {
-        match step.what {
-            What::Kill => yard.kill(i),
-            What::Start => yard.start_node(i)?,
-            What::Stop | What::GoOn | What::Term => {
-                if let Some(process) = &mut yard.nodes[i] {
-                    process.signal(match step.what {
-                        What::Stop => Signal::STOP,
-                        What::GoOn => Signal::CONT,
+        match step.kind {
+            FaultKind::Kill => cluster.kill(i),
+            FaultKind::Start => cluster.start_node(i)?,
+            FaultKind::Stop | FaultKind::GoOn | FaultKind::Term => {
+                if let Some(process) = &mut cluster.nodes[i] {
+                    process.signal(match step.kind {
+                        FaultKind::Stop => Signal::STOP,
+                        FaultKind::GoOn => Signal::CONT,
                         _ => Signal::TERM,
                     });
                 }
             }
             _ => {}
         }
-        match step.what {
-            What::Kill | What::Stop | What::Term => running[i] = false,
-            What::Start | What::GoOn => running[i] = true,
+        match step.kind {
+            FaultKind::Kill | FaultKind::Stop | FaultKind::Term => running[i] = false,
+            FaultKind::Start | FaultKind::GoOn => running[i] = true,
             _ => {}
         }
     }
-    match step.what {
-        What::Part => {
+    match step.kind {
+        FaultKind::Part => {
             let parts: Vec<u32> = (0..running.len()).map(|i| u32::from(step.nodes.contains(&i))).collect();
-            yard.relays.part(&parts);
+            cluster.relays.part(&parts);
         }
-        What::Heal => yard.relays.heal(),
-        What::Link => {
+        FaultKind::Heal => cluster.relays.heal(),
+        FaultKind::Link => {
             for from in &step.nodes {
                 step.to
                     .iter()
                     .filter(|to| *to != from)
-                    .for_each(|to| yard.relays.rule(*from, *to, step.rule));
+                    .for_each(|to| cluster.relays.rule(*from, *to, step.rule));
             }
         }
-        What::Workers => {
+        FaultKind::Workers => {
             for _ in 0..step.count {
-                yard.add_worker(true).await?;
+                cluster.add_worker(true).await?;
             }
-            yard.list();
+            cluster.list();
         }
         _ => {}
     }
     Ok(())
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const GOOD: &str = "seed = 1\nnodes = 3\nworkers = 2\nrate = 5.0\nquota = 5.0\nlength_s = 3\n";
-
-    #[test]
-    fn a_bad_plan_is_told_by_its_line() {
-        assert!(Plan::parse(GOOD).is_ok());
-        for (more, line) in [
-            ("[[fault]]\nat_s = 1\nwhat = \"kill\"\nnodes = [3]", 7),
-            ("[[fault]]\nat_s = 4\nwhat = \"kill\"\nnodes = [0]", 7),
-            ("[[fault]]\nat_s = 1\nwhat = \"hang\"", 9),
-            ("[[fault]]\nat_s = 1\nwhat = \"link\"\nrule = { loss = 2.0 }", 7),
-            ("[[fault]]\nat_s = 1\nwhat = \"link\"\nrule = { los = 0.2 }", 10),
-        ] {
-            let bad = Plan::parse(&format!("{GOOD}{more}")).unwrap_err();
-            assert_eq!(bad.line, line, "{more}: {bad}");
-        }
-    }
-}
--- a/rig/src/resource.rs
+++ b/rig/src/resource.rs
@@ -1,7 +1,7 @@
 //! A stand-in for something that only one node may act on at a time: it takes calls with a token, refuses one that is lower
 //! than it has seen, and records them all.
 
-use crate::acts::Act;
+use crate::history_check::Act;
 use crate::wire::{field, head};
 use std::io;
 use std::net::SocketAddr;
--- a/rig/tests/duties.rs
+++ b/rig/tests/duties.rs
@@ -3,9 +3,9 @@
 use duties::{Lost, Note, Seat, Standing, Store, Wish};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use rig::acts::violations;
 use rig::disk::MemDisk;
 use rig::duties::{address, name, Spec, World};
+use rig::history_check::violations;
 use rig::relay::Rule;
 use std::time::Duration;
 
