--- a/rig/src/cluster.rs
+++ b/rig/src/cluster.rs
@@ -335,7 +335,7 @@
         self.nodes[i] = None;
     }
 
-    /// What each node tells, by name; `None` where it tells nothing.
+    /// Status reports of all nodes, by name; `None` for a node that gives none.
     pub async fn statuses(&self) -> BTreeMap<String, Option<Status>> {
         let mut calls = JoinSet::new();
         for (i, process) in self.nodes.iter().enumerate() {
--- a/rig/src/emulated.rs
+++ b/rig/src/emulated.rs
@@ -1,4 +1,4 @@
-//! Many machines of the fleet in emulated time, in one thread: the same seed gives the same run to the last byte. What
+//! Fleet of machines in emulated time, in one thread: the same seed gives the same run to the last byte. What
 //! passes between them goes by the rules that the relays of real processes have, too.
 
 use crate::check::{faults, Fault, Truth};
@@ -53,7 +53,7 @@
     skew_ms: i64,
 }
 
-/// What a node noted, when.
+/// Time, node and event.
 pub type RecordedEvent = (Duration, usize, MembershipEvent);
 
 /// Many machines and what lies between them.
@@ -67,7 +67,7 @@
     /// What passes between them.
     pub rules: Rules,
     rng: SmallRng,
-    /// What the nodes noted; who looks at it clears it.
+    /// Events of the nodes; cleared by the reader.
     pub events: Vec<RecordedEvent>,
     /// What was sent to whom, where it is kept, for those who play it back.
     pub tape: Option<Vec<(usize, Vec<u8>)>>,
--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// What the node at this management address tells of its fleet.
+/// Status report of the node at a management address; `None` if it gives none.
 pub async fn fleet_status(at: SocketAddr) -> Option<Status> {
     let (status, body) = call(at, "GET", "/fleet").await?;
     serde_json::from_slice(&body).ok().filter(|_| status == 200)
