--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,30 +1,33 @@
-//! A view of the fleet that the nodes keep themselves: who is there, who is suspected, who has left and who is dead.
+//! Fleet membership that the nodes keep themselves: which nodes are alive, suspected, draining, left or dead.
 //!
-//! [`Machine`] has no I/O, clock or thread of its own: datagrams, timers and what the node is told go in with the time,
-//! and [`Action`]s come out. So the same code runs over sockets and in emulated time. Underneath is SWIM with suspicion
-//! and refutation, from the `foca` crate; over it names, incarnations, zones, leaving on purpose, sealed messages that
-//! can't be replayed, and contact with members held dead, so that two halves of a partition find each other again.
+//! [`Machine`] has no I/O, clock or thread of its own: datagrams, the time and requests of the node are its input,
+//! [`Action`]s its output. So the same code runs over sockets and in emulated time. It does SWIM with suspicion and
+//! refutation (the `foca` crate), and above it names, incarnations, zones, leaving on purpose, authenticated messages with
+//! replay protection, and contact with members held dead, so that the halves of a partition find each other again.
 //!
-//! The view is each node's own and for some seconds differs from the others': nothing that must be exclusive may hang
-//! on it.
+//! Each node has its own view, and views differ for some seconds after a change: nothing that must be exclusive may depend
+//! on them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod codec;
-mod exchange;
 pub mod file;
+mod fleet_size;
+pub mod fragments;
+mod hash;
 pub mod keys;
 mod machine;
 mod member;
-mod packet;
-mod session;
-mod shown;
-mod stand;
-mod words;
+pub mod packet;
+pub mod session;
+pub mod state_sync;
+mod status;
 
-pub use exchange::{Asked, FRAME_MAX};
-pub use machine::{Action, Birth, Config, Figures, Machine, Note, Refused, Timing};
-pub use member::{Identity, Line, Peer, Phase, Status, View, NAME_MAX};
-pub use packet::{hash, DATAGRAM_MAX, RATES_MAX, WORD_MAX};
-pub use shown::{Shown, Standing};
-pub use stand::{Others, Stand};
+pub use fleet_size::{FleetSize, OtherMembers};
+pub use fragments::MESSAGE_MAX;
+pub use hash::hash;
+pub use machine::{Action, Config, Counters, Machine, MembershipEvent, ProcessStart, Refused, Timing};
+pub use member::{Identity, MemberInfo, MemberStatus, Peer, Phase, View, NAME_MAX};
+pub use packet::{DATAGRAM_MAX, RATES_MAX};
+pub use state_sync::{PendingSync, FRAME_MAX};
+pub use status::{SenderCounts, Status};
