Hear of a change within 6 s whatever became of the calls before, with up to 1,024 nodes

Cause: where all nodes ask one service, a watch waited 0.2 s for each node, 5 to 20 s (`follow::Pauses::new`, `WAIT_EACH`, `WAIT_MAX`), and the wait after silence was as long (`wait_silent`). A call that was lost while the service was down was given up after 6.5 s at one node and 21.5 s at 350, so what the service had at its return came up to 21.5 s later. A call behind a refusal waited as long again.

Checked and ruled out: pauses after refusals and lists that can't be read stay below 3 s for any number of nodes; half an answer that then stops falls under the same limit as silence; a reset is followed by a call 50 ms later; discovery that moved is asked for the whole list, which may not wait.

Change: a watch waits 4 s, and 1 s before the first answer and after any call that had none; where lists are pushed 1 s and 0.1 s, as before, now also at the start and after a refusal.

New: `tests/told.rs` (any lost call at 1, 33, 350 and 1,024 nodes, a start with an old list, discovery that moves, a take-over, 350 nodes on one service). With `follow.rs` as it was four of its five tests fail ('called again after 6.585s', '21.554s', none of 350 told in 6 s). Guards taken out one by one: pauses up to 10 s fail three tests (8.012 s); silence borne for 60 s fails all five; long waits behind a refusal fail one (5.939 s against 5.8 s); a long first watch leaves 207 of 350 untold.

Watches that end with no news make up to 88 calls a second at 350 nodes instead of 18.

--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -23,19 +23,19 @@
 
 /// A list of some thousand workers.
 const BODY_MAX: usize = 4 << 20;
-/// For which a watch waits where discovery is one service for all nodes; a change unheard counts as told 2 s after that. A
-/// watch that ends while it is overbooked is one more call that it has to answer: the more nodes there are, the longer.
-const WAIT: Duration = Duration::from_secs(5);
-const WAIT_EACH: Duration = Duration::from_millis(200);
-const WAIT_MAX: Duration = Duration::from_secs(20);
-/// The same where lists are pushed: the agent is this machine's own and answers at no cost, and what it has counts as told
+/// For which a watch waits where discovery is one service for all nodes. With [`SILENCE`] and [`PAUSE`] behind it, a watch
+/// that falls silent is opened anew within the 6 s after which a change counts as told, however many nodes ask.
+const WAIT: Duration = Duration::from_secs(4);
+/// The same after a call that had no answer, and for the first call of all. Behind the longest pause, a call that falls
+/// silent then is still made anew within those 6 s.
+const WAIT_UNSURE: Duration = Duration::from_secs(1);
+/// The waits where lists are pushed: the agent is this machine's own and answers at no cost, and what it has counts as told
 /// whether or not it was asked. A silent watch is to be seen soon.
 const WAIT_PUSHED: Duration = Duration::from_secs(1);
+/// Until the agent is surely there again, no long wait may hang on a call that it has forgotten.
+const WAIT_PUSHED_UNSURE: Duration = Duration::from_millis(100);
 /// Beyond the wait, before a silent call is given up and made anew.
 const SILENCE: Duration = Duration::from_millis(1500);
-/// For which a watch waits after one that was met with silence: until the agent is surely there again, no long wait may
-/// hang on a call that it has forgotten.
-const WAIT_SILENT: Duration = Duration::from_millis(100);
 /// Between calls after a failure; within 200 ms the watch goes on.
 const PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after calls that discovery turned away, which says that it is asked too much.
@@ -203,9 +203,10 @@
 /// ask again, and each call that it turns away keeps it from answering one.
 struct Pauses {
     rng: fastrand::Rng,
+    /// For which a watch waits after an answer.
     wait: Duration,
-    /// The same after a call that was met with silence.
-    wait_silent: Duration,
+    /// The same before the first answer, and after a call that had none.
+    wait_unsure: Duration,
     first: Duration,
     next: Duration,
 }
@@ -213,13 +214,12 @@
 impl Pauses {
     /// Where all nodes ask one service, the first pause grows with them, so that all together ask about as often as few do.
     fn new(siblings: u32, asked: bool, seed: u64) -> Pauses {
-        let (first, wait, wait_silent) = if asked {
-            let wait = (WAIT_EACH * siblings).clamp(WAIT, WAIT_MAX);
-            ((PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX), wait, wait)
+        let (first, wait, wait_unsure) = if asked {
+            ((PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX), WAIT, WAIT_UNSURE)
         } else {
-            (PAUSE, WAIT_PUSHED, WAIT_SILENT)
+            (PAUSE, WAIT_PUSHED, WAIT_PUSHED_UNSURE)
         };
-        Pauses { rng: fastrand::Rng::with_seed(seed), wait, wait_silent, first, next: first }
+        Pauses { rng: fastrand::Rng::with_seed(seed), wait, wait_unsure, first, next: first }
     }
 
     fn answered(&mut self) {
@@ -242,10 +242,12 @@
     tell: mpsc::Sender<ListBody>,
     down: Arc<AtomicBool>,
 ) {
-    let (mut connection, mut silent): (Option<Sender>, bool) = (None, false);
+    let mut connection: Option<Sender> = None;
+    // Whether the last call had an answer.
+    let mut answered = false;
     down.store(false, Ordering::Relaxed);
     loop {
-        let wait = if silent { pauses.wait_silent } else { pauses.wait };
+        let wait = if answered { pauses.wait } else { pauses.wait_unsure };
         match call(&mut connection, at, version.map(|version| (version, wait))).await {
             // Guards a drain that was told: an older list of the same address takes nothing back. The whole list is asked
             // for, and counts whatever its version, for discovery may have begun anew.
@@ -255,7 +257,7 @@
                 sleep(pauses.refused()).await;
             }
             Ok(list) => {
-                (version, silent) = (Some(list.revision), false);
+                (version, answered) = (Some(list.revision), true);
                 pauses.answered();
                 if down.swap(false, Ordering::Relaxed) {
                     log::info!("discovery: {at} reached again");
@@ -265,6 +267,7 @@
                 }
             }
             Err(e) => {
+                answered = false;
                 // Discovery has moved: this address owes nothing more.
                 if *place.borrow() != Some(at) {
                     return;
@@ -282,7 +285,7 @@
                         sleep(pauses.refused()).await;
                     }
                     Trouble::Unreached(_) => {
-                        (connection, silent) = (None, true);
+                        connection = None;
                         sleep(PAUSE).await;
                     }
                 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -343,6 +343,10 @@
 const TURNED_AWAY: &str = "busy";
 /// In place of a list: half of one, then the end of the connection.
 const CUT: &str = "cut";
+/// In place of a list: half of one, then silence.
+const HALF: &str = "half";
+/// In place of a list: the end of the connection.
+const RESET: &str = "reset";
 
 /// A stand-in for discovery: what it is to answer, and the heads of the calls that came.
 struct Agent {
@@ -409,7 +413,8 @@
         Platform::all(parts, None, 1024, 192, None).await
     }
 
-    async fn all(
+    /// With these parts of a configuration, and where it may take over from another process or be taken over.
+    pub async fn all(
         parts: Value,
         place: Option<PathBuf>,
         sockets: usize,
@@ -432,7 +437,8 @@
         let address = listener.local_addr().unwrap();
         let phases = Phases::default();
         let counters = Arc::new(Counters::default());
-        let (discovery, followed) = watch::channel(Some(at));
+        // A test may name another discovery than the stand-in that comes with the node.
+        let (discovery, followed) = watch::channel(Some(config.discovery));
         let (tuning, follow_tuning) = watch::channel(config.tuning.clone());
         let (ready, mut is_ready) = watch::channel(false);
         let links = platform::Links {
@@ -501,6 +507,16 @@
         self.agent.answers.send(CUT.to_string()).unwrap();
     }
 
+    /// Discovery's next answer stops in its middle, and the connection stays open.
+    pub fn half(&self) {
+        self.agent.answers.send(HALF.to_string()).unwrap();
+    }
+
+    /// Discovery ends the connection of the next call with no answer.
+    pub fn reset_call(&self) {
+        self.agent.answers.send(RESET.to_string()).unwrap();
+    }
+
     /// Discovery's next answer, whatever the call.
     pub fn tell(&self, body: impl ToString) {
         self.agent.answers.send(body.to_string()).unwrap();
@@ -533,6 +549,11 @@
         heads
     }
 
+    /// Moves discovery, and looks at the calls of the new address from here on.
+    pub async fn follow_moved_discovery(&mut self) {
+        self.calls = self.move_discovery().await;
+    }
+
     /// Waits until the node has closed its connection to the address that discovery had before it moved.
     pub async fn old_is_closed(&self) {
         self.old.as_ref().unwrap().closed.notified().await;
@@ -565,9 +586,15 @@
                 _ = stream.fill_buf() => break, // closed: nothing comes before an answer
             };
             let Some(body) = body else { return std::future::pending().await };
-            if body == CUT {
+            if body == RESET {
+                break;
+            }
+            if body == CUT || body == HALF {
                 let half = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"revision\": 9, \"complete\": true, \"mem";
                 let _ = writer.write_all(half.as_bytes()).await;
+                if body == HALF {
+                    let _ = stream.fill_buf().await; // returns once the node has given the call up
+                }
                 break;
             }
             let status = if body == TURNED_AWAY { "503 Service Unavailable" } else { "200 OK" };
--- /dev/null
+++ b/node/tests/told.rs
@@ -0,0 +1,264 @@
+//! A change of the list reaches the node within 6 s of when discovery has it and can be reached, whatever became of the
+//! calls before: refused, reset, cut, half an answer, a bad one, none at all, a watch that fell silent, discovery that moved, another
+//! process that took over, a start with an old list. The change is there in the worst moment: right after the call that
+//! was lost.
+
+mod common;
+
+use common::{until, Platform, Worker};
+use molevale::upgrade::{Before, Found};
+use serde_json::{json, Value};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::yield_now;
+use tokio::time::{advance, sleep, timeout, Instant};
+
+/// After which a change counts as told.
+const TOLD: Duration = Duration::from_secs(6);
+/// Of this, what is left for the answer to come and to be taken.
+const MARGIN: Duration = Duration::from_millis(200);
+/// How many nodes there are.
+const FLEETS: [u32; 4] = [1, 33, 350, 1024];
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    Refused,
+    Reset,
+    Cut,
+    Half,
+    Bad,
+    Silent,
+}
+
+const LOSSES: [Loss; 6] = [Loss::Refused, Loss::Reset, Loss::Cut, Loss::Half, Loss::Bad, Loss::Silent];
+
+fn settings(discovery: &str, nodes: u32) -> Value {
+    let mut settings = common::settings(true, 60_000_000);
+    settings["Discovery"] = discovery.into();
+    settings["Siblings"] = nodes.into();
+    settings
+}
+
+/// The call that has come is lost.
+fn lose(node: &Platform, loss: Loss) {
+    match loss {
+        Loss::Refused => node.turn_away(),
+        Loss::Reset => node.reset_call(),
+        Loss::Cut => node.cut(),
+        Loss::Half => node.half(),
+        Loss::Bad => node.tell("{}"),
+        Loss::Silent => {}
+    }
+}
+
+/// The next call comes in time to be told what counts as told 6 s after `since`.
+async fn next_call(node: &mut Platform, since: Instant, what: &str) -> String {
+    let head = node.call().await;
+    let after = since.elapsed();
+    assert!(after <= TOLD - MARGIN, "{what}: called again after {after:?}");
+    head
+}
+
+/// Tells a list of this version, and sees it taken.
+async fn tell(node: &Platform, worker: &Worker, revision: u64) {
+    let lists = node.counters.lists.get();
+    node.tell(json!({"revision": revision, "complete": true, "members": [worker.line("s-1", "in_service")]}));
+    until("the list is taken", Duration::from_millis(1), || node.counters.lists.get() == lists + 1).await;
+}
+
+/// Each loss of a watch, of the call after it, and of one that silence follows on.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_told_in_time_after_any_lost_call() {
+    for discovery in ["ask", "push"] {
+        for nodes in FLEETS {
+            let worker = Worker::start().await;
+            let known = [worker.line("s-1", "in_service")];
+            let parts = json!({"settings": settings(discovery, nodes), "known": known});
+            let mut node = Platform::told(parts).await;
+            node.call().await;
+            for (n, loss) in LOSSES.into_iter().enumerate() {
+                let (what, revision) = (format!("{discovery}, {nodes} nodes, {loss:?}"), 2 * n as u64 + 2);
+                tell(&node, &worker, revision).await;
+                node.call().await; // a watch as long as they get
+                lose(&node, loss);
+                next_call(&mut node, Instant::now(), &format!("{what}: a watch")).await;
+                // The pause is as long as pauses get, and the call behind it falls silent.
+                for _ in 0..8 {
+                    node.turn_away();
+                    node.call().await;
+                }
+                let since = Instant::now();
+                lose(&node, loss);
+                next_call(&mut node, since, &format!("{what}: once more")).await;
+                tell(&node, &worker, revision + 1).await;
+                node.call().await;
+                node.turn_away();
+                let since = Instant::now();
+                node.call().await; // it falls silent
+                next_call(&mut node, since, &format!("{what}: refused, then silent")).await;
+            }
+        }
+    }
+}
+
+/// A start with an old list: what becomes of the first call.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_told_in_time_after_a_start_with_an_old_list() {
+    for discovery in ["ask", "push"] {
+        for nodes in FLEETS {
+            for loss in LOSSES {
+                let worker = Worker::start().await;
+                let known = [worker.line("s-1", "terminating")];
+                let parts = json!({"settings": settings(discovery, nodes), "known": known});
+                let mut node = Platform::told(parts).await;
+                let since = Instant::now();
+                let head = node.call().await;
+                assert!(head.contains("?index=1&"), "from the list that was known: {head}");
+                lose(&node, loss);
+                next_call(&mut node, since, &format!("{discovery}, {nodes} nodes, {loss:?}")).await;
+                tell(&node, &worker, 2).await;
+            }
+        }
+    }
+}
+
+/// Discovery moves: what becomes of the first call at the new address.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_told_in_time_after_discovery_moved() {
+    for discovery in ["ask", "push"] {
+        for nodes in FLEETS {
+            for loss in LOSSES {
+                let worker = Worker::start().await;
+                let known = [worker.line("s-1", "in_service")];
+                let parts = json!({"settings": settings(discovery, nodes), "known": known});
+                let mut node = Platform::told(parts).await;
+                node.call().await;
+                let since = Instant::now();
+                node.follow_moved_discovery().await;
+                let head = node.call().await;
+                assert!(!head.contains("index="), "the whole list: {head}");
+                lose(&node, loss);
+                next_call(&mut node, since, &format!("{discovery}, {nodes} nodes, {loss:?}")).await;
+                tell(&node, &worker, 2).await;
+            }
+        }
+    }
+}
+
+/// Another process takes over: what becomes of its first call.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_told_in_time_after_another_process_took_over() {
+    for discovery in ["ask", "push"] {
+        for loss in LOSSES {
+            let place: PathBuf = std::env::temp_dir()
+                .join(format!("molevale-told-{}-{discovery}-{loss:?}", std::process::id()));
+            let worker = Worker::start().await;
+            let known = [worker.line("s-1", "in_service")];
+            let parts = json!({"settings": settings(discovery, 350), "known": known});
+            let _old = Platform::all(parts.clone(), Some(place.clone()), 256, 32, None).await;
+            while !place.exists() {
+                yield_now().await;
+            }
+            let Found::Process(listener, before) = Before::find(&place).await else { panic!("nobody") };
+            let mut new = Platform::all(parts, Some(place.clone()), 256, 32, Some((listener, before))).await;
+            let since = Instant::now();
+            new.call().await;
+            lose(&new, loss);
+            next_call(&mut new, since, &format!("{discovery}, {loss:?}")).await;
+            tell(&new, &worker, 2).await;
+            std::fs::remove_file(place).unwrap();
+        }
+    }
+}
+
+/// One service for all nodes, which works through calls in turn.
+struct Service {
+    /// Calls that it never answers: it is down, and does not say so.
+    lost: Arc<AtomicU32>,
+    /// Set once it answers.
+    up: Arc<Semaphore>,
+}
+
+/// For which the service works at one call.
+const WORK: Duration = Duration::from_millis(2);
+/// A call that waited so long for its turn is turned away.
+const TURN_MAX: Duration = Duration::from_secs(1);
+
+impl Service {
+    async fn start(list: String) -> (Service, std::net::SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (up, lost, turn) = (Arc::new(Semaphore::new(0)), Arc::default(), Arc::new(Semaphore::new(1)));
+        let service = Service { lost, up: up.clone() };
+        let lost = service.lost.clone();
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(serve(socket, list.clone(), up.clone(), turn.clone(), lost.clone()));
+            }
+        });
+        (service, address)
+    }
+}
+
+async fn serve(
+    socket: TcpStream,
+    list: String,
+    up: Arc<Semaphore>,
+    turn: Arc<Semaphore>,
+    lost: Arc<AtomicU32>,
+) -> Option<()> {
+    let mut stream = BufReader::new(socket);
+    loop {
+        rig::wire::head(&mut stream).await?;
+        if up.available_permits() == 0 {
+            lost.fetch_add(1, Ordering::Relaxed);
+            std::future::pending::<()>().await;
+        }
+        let (status, body) = match timeout(TURN_MAX, turn.acquire()).await {
+            Ok(_turn) => {
+                sleep(WORK).await;
+                ("200 OK", list.as_str())
+            }
+            Err(_) => ("503 Service Unavailable", ""),
+        };
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        stream.write_all(text.as_bytes()).await.ok()?;
+        if status.starts_with("200") {
+            std::future::pending::<()>().await; // nothing more is new
+        }
+    }
+}
+
+/// Of 350 nodes that ask one service, which was silent when they started: each has the change in time.
+#[tokio::test(start_paused = true)]
+async fn each_of_350_nodes_that_ask_one_service_is_told_in_time() {
+    const NODES: usize = 350;
+    let worker = Worker::start().await;
+    let line = worker.line("s-1", "in_service");
+    let list = json!({"revision": 2, "complete": true, "members": [line]}).to_string();
+    let (service, address) = Service::start(list).await;
+    let mut nodes = Vec::with_capacity(NODES);
+    for n in 0..NODES {
+        let parts = json!({"settings": settings("ask", NODES as u32), "known": [line], "seed": n.to_string(),
+            "discovery": address.to_string()});
+        nodes.push(Platform::told(parts).await);
+    }
+    let lost = || service.lost.load(Ordering::Relaxed) as usize;
+    until("all have called in vain", Duration::from_millis(1), || lost() >= NODES).await;
+    let (since, told) = (Instant::now(), |node: &&Platform| node.counters.lists.get() > 0);
+    service.up.add_permits(1);
+    while since.elapsed() < TOLD && nodes.iter().filter(told).count() < NODES {
+        advance(Duration::from_millis(1)).await;
+    }
+    for _ in 0..1000 {
+        yield_now().await;
+    }
+    let told = nodes.iter().filter(told).count();
+    assert_eq!(told, NODES, "told after {:?}", since.elapsed());
+}
