Begin no attempt for a client that left while its socket was frozen

Cause: while a running job is offered to another process its client's socket is frozen, and `Leash::ended` leaves the end for later. Where the job then goes on here, a worker's word that hands it back is read at once, but an end behind unread bytes only with the next look, up to 50 ms later (`socket::LOOK`): a further attempt began for a client that had left long before.

Checked and ruled out: a close, a reset or a half-close with nothing behind it (the HTTP library reads it first); each step of a hand-over, also behind bytes (the new process is told of the end as it registers the socket); a close behind bytes that were seen and left unread (50 ms); a connection that comes up late (`Front::abandon`).

Change: `Dispatcher::send` asks `Front::is_awaited` before each attempt; the platform's front looks at the client's socket (`Leash::has_ended`), and a request whose client has gone ends as if it had been told.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -63,6 +63,10 @@
 
     /// Starts an attempt. Exactly one [`Handle::ended`] follows for this tag, whatever happens.
     fn send(&mut self, tag: Tag, job: &Self::Job, worker: WorkerId, until: Instant) -> Self::Attempt;
+    /// Whether somebody still waits for this job, as far as can be told now.
+    fn is_awaited(&self, _job: &Self::Job) -> bool {
+        true
+    }
     /// Ends an attempt early. Its `ended` says `why`, unless another outcome was under way.
     fn stop(&mut self, attempt: Self::Attempt, why: Outcome);
     /// Nobody waits for this attempt any more: what of it is not on its way yet need not go out. It ends as ever.
@@ -535,6 +539,10 @@
         let may = |e: &&mut Entry<F>| e.out.is_none() && e.sent < e.most && e.until > Instant::now();
         let Some(entry) = self.table.get_mut(&id).filter(may) else { return self.moot(id) };
         let Some(job) = &entry.job else { return self.moot(id) };
+        // Guards workers against a job whose client left while nobody could see it, as while its socket was frozen.
+        if !self.front.is_awaited(job) {
+            return self.gone(id);
+        }
         let tag = Tag { id, attempt: entry.sent };
         entry.sent += 1;
         entry.last = Some(Sent { worker, at: Instant::now(), started: None, until: entry.until });
@@ -543,6 +551,17 @@
         self.counters.out.set(self.counters.out.get() + 1);
     }
 
+    /// The client of a request that was to be sent has gone: the module hears that first, then that nothing was sent.
+    fn gone(&mut self, id: RequestId) {
+        if let Some(entry) = self.table.get_mut(&id) {
+            entry.job = None;
+            self.counters.left.add();
+            self.events.push_back(Event::ClientLeft { id });
+            self.moot(id);
+            self.tidy(id);
+        }
+    }
+
     /// Guards the wire against a send that may not go out; the module hears that it never did.
     fn moot(&mut self, id: RequestId) {
         self.counters.moot.add();
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -86,6 +86,10 @@
         Hold { stop, line }
     }
 
+    fn is_awaited(&self, job: &Job) -> bool {
+        job.client.as_ref().is_none_or(|client| !client.leash.has_ended())
+    }
+
     fn stop(&mut self, attempt: Self::Attempt, why: Outcome) {
         // Fails where the attempt has just ended by itself; its own outcome is in the queue then.
         let _ = attempt.stop.send(why);
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP socket that may go to another process while it is in use: what this process does with it can be frozen
 //! at any moment, and what an earlier one has read of it comes first here.
 
+use futures_util::FutureExt;
 use rustix::net::{recv, shutdown, RecvFlags, Shutdown};
 use std::io::{self, ErrorKind};
 use std::os::fd::OwnedFd;
@@ -93,6 +94,13 @@
         self.peek() == Err(rustix::io::Errno::WOULDBLOCK)
     }
 
+    /// Whether the other end has closed, half-closed or reset it by now, as far as the kernel has told.
+    pub fn has_ended(&self) -> bool {
+        let ready = self.0.stream.ready(Interest::READABLE).now_or_never();
+        let told = matches!(ready, Some(Ok(ready)) if ready.is_read_closed());
+        told || !matches!(self.peek(), Ok(1..) | Err(rustix::io::Errno::WOULDBLOCK))
+    }
+
     /// Returns once the other end has closed, half-closed or reset it, also behind bytes that nobody has read. While it
     /// is frozen that is for the process that gets it to see.
     pub async fn ended(&self) {
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -16,7 +16,7 @@
 const GONE: &str = "9b1f03aa5c7e2d41";
 const NEXT: &str = "9b1f03aa5c7e2d42";
 /// In which a request whose client has left is off, at the latest.
-const OFF: u64 = 300;
+const OFF: u64 = 100;
 
 /// How a client leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
