--- a/node/src/faktory/leases.rs
+++ b/node/src/faktory/leases.rs
@@ -20,8 +20,8 @@
 /// Jobs remembered, and the bytes of those not yet ended: beyond, a push is refused.
 const RECORDS_MAX: usize = 20_000;
 const BYTES_MAX: usize = 32 << 20;
-/// Workers listed, and jids that may join one job.
-const WORKERS_MAX: usize = 1_000;
+/// Jids that may join one job. Workers have no bound of their own: one is listed for as long as it has a connection, and
+/// the operator's file bounds these.
 const JIDS_MAX: usize = 64;
 
 /// The core's view of a job: the number of its record.
@@ -345,10 +345,7 @@
     // ---- workers ----
 
     /// A session of this worker has begun; the first one lists the worker.
-    pub fn enter(&mut self, wid: &str) -> Result<(), String> {
-        if !self.workers.contains_key(wid) && self.workers.len() >= WORKERS_MAX {
-            return Err("too many workers".to_string());
-        }
+    pub fn enter(&mut self, wid: &str) {
         let worker = self.workers.entry(wid.to_string()).or_default();
         worker.sessions += 1;
         worker.seen = Some(Instant::now());
@@ -356,7 +353,6 @@
             self.numbers.insert(WorkerId(number_of(wid)), wid.to_string());
             self.list(wid, Availability::Ready);
         }
-        Ok(())
     }
 
     /// A session of this worker is over; with the last one its leases are lost.
@@ -500,17 +496,17 @@
         let (id, queues) = (1, ["lodge".to_string()]);
         let tag = |attempt| Tag { id: 9, attempt };
         let number = |wid| WorkerId(number_of(wid));
-        leases.enter("one").unwrap();
+        leases.enter("one");
         let (_, mut first) = leases.fetch("one", &queues);
         assert!(!leases.offer(tag(0), id, number("one")), "a FETCH was there");
         assert_eq!(first.try_recv().unwrap().tag, tag(0));
         leases.leave("one");
-        leases.enter("one").unwrap();
+        leases.enter("one");
         let (_, mut again) = leases.fetch("one", &queues);
         leases.offer(tag(1), id, number("one"));
         assert!(again.try_recv().is_err(), "the same worker");
         assert!(leases.finish("one", "job-00001", Outcome::Ok).is_err(), "its late ACK");
-        leases.enter("two").unwrap();
+        leases.enter("two");
         let (_, mut other) = leases.fetch("two", &queues);
         leases.offer(tag(2), id, number("two"));
         assert_eq!(other.try_recv().unwrap().tag, tag(2));
--- a/node/src/faktory/session.rs
+++ b/node/src/faktory/session.rs
@@ -170,7 +170,7 @@
             if !(1..=256).contains(&wid.len()) {
                 return Err("a wid has 1 to 256 characters".to_string());
             }
-            self.shared.leases().enter(&wid)?;
+            self.shared.leases().enter(&wid);
             self.wid = Some(wid);
         }
         Ok(())
