Give a late service time to answer a watch before it is asked again, within the 6 s

Cause: since a watch before the first answer and after a failed call was given up after 2.5 s (`WAIT_UNSURE` of 1 s and `SILENCE`). A service that is further behind works at calls whose callers have gone, and is asked again by all of them. And a watch of 4 s left 350 nodes whose watches fall silent at once 0.4 s of the 6 s for their answers.

Change: a watch waits 3 s, and 2 s less the pause before it, 1 s at least, for the first call and after one that failed. So a pause and the call behind it end within 5.5 s, and a call that follows on silence is given 3.5 s.

--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -24,11 +24,14 @@
 /// A list of some thousand workers.
 const BODY_MAX: usize = 4 << 20;
 /// For which a watch waits where discovery is one service for all nodes. With [`SILENCE`] and [`PAUSE`] behind it, a watch
-/// that falls silent is opened anew within the 6 s after which a change counts as told, however many nodes ask.
-const WAIT: Duration = Duration::from_secs(4);
-/// The same after a call that had no answer, and for the first call of all. Behind the longest pause, a call that falls
-/// silent then is still made anew within those 6 s.
-const WAIT_UNSURE: Duration = Duration::from_secs(1);
+/// that falls silent is opened anew so soon that all nodes together have their answers within the 6 s after which a change
+/// counts as told, however many ask.
+const WAIT: Duration = Duration::from_secs(3);
+/// The same for the first call, and after one that failed, less the pause before it: long enough that a service which is
+/// some seconds behind with its calls is not asked again before it could answer.
+const WAIT_UNSURE: Duration = Duration::from_secs(2);
+/// And at least. Behind the longest pause, a call that falls silent then is still made anew within the 6 s.
+const WAIT_LEAST: Duration = Duration::from_secs(1);
 /// The waits where lists are pushed: the agent is this machine's own and answers at no cost, and what it has counts as told
 /// whether or not it was asked. A silent watch is to be seen soon.
 const WAIT_PUSHED: Duration = Duration::from_secs(1);
@@ -203,10 +206,12 @@
 /// ask again, and each call that it turns away keeps it from answering one.
 struct Pauses {
     rng: fastrand::Rng,
-    /// For which a watch waits after an answer.
+    /// For which a watch waits.
     wait: Duration,
-    /// The same before the first answer, and after a call that had none.
+    /// The same for the first call, and after one that failed, less the pause before it.
     wait_unsure: Duration,
+    /// And at least.
+    wait_least: Duration,
     first: Duration,
     next: Duration,
 }
@@ -214,12 +219,22 @@
 impl Pauses {
     /// Where all nodes ask one service, the first pause grows with them, so that all together ask about as often as few do.
     fn new(siblings: u32, asked: bool, seed: u64) -> Pauses {
-        let (first, wait, wait_unsure) = if asked {
-            ((PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX), WAIT, WAIT_UNSURE)
+        let rng = fastrand::Rng::with_seed(seed);
+        if asked {
+            let first = (PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX);
+            Pauses { rng, wait: WAIT, wait_unsure: WAIT_UNSURE, wait_least: WAIT_LEAST, first, next: first }
         } else {
-            (PAUSE, WAIT_PUSHED, WAIT_PUSHED_UNSURE)
-        };
-        Pauses { rng: fastrand::Rng::with_seed(seed), wait, wait_unsure, first, next: first }
+            let (wait, unsure) = (WAIT_PUSHED, WAIT_PUSHED_UNSURE);
+            Pauses { rng, wait, wait_unsure: unsure, wait_least: unsure, first: PAUSE, next: PAUSE }
+        }
+    }
+
+    /// For which a watch waits, where this pause was before it.
+    fn wait(&self, pause: Option<Duration>) -> Duration {
+        match pause {
+            None => self.wait,
+            Some(pause) => self.wait_unsure.saturating_sub(pause).max(self.wait_least),
+        }
     }
 
     fn answered(&mut self) {
@@ -243,21 +258,23 @@
     down: Arc<AtomicBool>,
 ) {
     let mut connection: Option<Sender> = None;
-    // Whether the last call had an answer.
-    let mut answered = false;
+    // Before the next call, unless the last one had an answer.
+    let mut pause = Some(Duration::ZERO);
     down.store(false, Ordering::Relaxed);
     loop {
-        let wait = if answered { pauses.wait } else { pauses.wait_unsure };
+        if let Some(pause) = pause {
+            sleep(pause).await;
+        }
+        let wait = pauses.wait(pause);
         match call(&mut connection, at, version.map(|version| (version, wait))).await {
             // Guards a drain that was told: an older list of the same address takes nothing back. The whole list is asked
             // for, and counts whatever its version, for discovery may have begun anew.
             Ok(list) if version.is_some_and(|version| list.revision < version) => {
                 log::warn!("discovery: {at}: version {} after {version:?}", list.revision);
-                version = None;
-                sleep(pauses.refused()).await;
+                (version, pause) = (None, Some(pauses.refused()));
             }
             Ok(list) => {
-                (version, answered) = (Some(list.revision), true);
+                (version, pause) = (Some(list.revision), None);
                 pauses.answered();
                 if down.swap(false, Ordering::Relaxed) {
                     log::info!("discovery: {at} reached again");
@@ -267,7 +284,6 @@
                 }
             }
             Err(e) => {
-                answered = false;
                 // Discovery has moved: this address owes nothing more.
                 if *place.borrow() != Some(at) {
                     return;
@@ -276,19 +292,19 @@
                 if !down.swap(true, Ordering::Relaxed) {
                     log::warn!("discovery: {at}: {e}");
                 }
-                match e {
+                pause = Some(match e {
                     // Over the same connection, with what it knows.
-                    Trouble::TurnedAway(_) => sleep(pauses.refused()).await,
+                    Trouble::TurnedAway(_) => pauses.refused(),
                     // Guards against a list that can't be read: the whole of it is fetched anew, and not in a spin.
                     Trouble::Unread(_) => {
                         (version, connection) = (None, None);
-                        sleep(pauses.refused()).await;
+                        pauses.refused()
                     }
                     Trouble::Unreached(_) => {
                         connection = None;
-                        sleep(PAUSE).await;
+                        PAUSE
                     }
-                }
+                });
             }
         }
     }
