Share a cold worker by slots in time and by work; bound a node's jobs at workers

Policy::cold_credit charged 1 for a request whatever its work, and lodges were six in ten of what told nodes sent to cold workers; unused credit was kept, up to a request for each node and worker; in small fleets each list re-valued it at all nodes at once.

Ruled out (350 instances of the module in emulated time): trials of doubted workers (0.16 of the bound), restarts (0.57 to 0.81), nodes told seconds apart (0.48). Unused credit after a silence of 18 s: 1.51 of the bound.

Change: src/slow_start.rs, free of I/O, gives each slot of a third of the fall time to as many nodes as its budget allows, by worker, time and ordinal alone; unused slots lapse, a restarted node uses none that began before it, a job of several times the mean work is sent in so many times fewer slots. Capacity goes by the tenants' quotas, so it does not fall with what is served. One law for any number of nodes and any weights.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,9 @@
 #[rustfmt::skip] // short guards stay on one line: the module has a line limit
 pub mod policy;
 pub mod settings;
+pub mod slow_start;
 mod support;
 mod weights;
+pub mod window;
 
 pub use policy::Policy;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,8 +2,10 @@
 //! accepted -> tenant queue -> admitted (rate u, by band) -> waits for a worker with room -> sent -> ended.
 
 use crate::api::*;
+use crate::slow_start::{self, Fleet, Sender, Start, Used};
 use crate::support::{mix, pack, unit, unpack, Agenda, LeastSquares, Recent, Rng};
 use crate::weights::Weights;
+use crate::window::Window;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 
@@ -35,9 +37,7 @@
 const CROWD_PAUSE: f64 = 5.0; // doublings of the pause after 'full' where it never has room
 const ALL: usize = 32; // workers up to which all are looked at for a job; beyond, a seeded sample ...
 const SAMPLE: usize = 8; // ... of this many of our zone and a third of that from others
-const COLD_SAFETY: f64 = 0.4; // part of a cold worker's budget we use: siblings' guesses differ from ours
-const COLD_GAIN: f64 = 0.3; // what more once it is warm, in a large fleet: sums of many stray less
-const COLD_USEFUL: f64 = 0.4; // below this part of its capacity it runs a job too slowly to be of use
+const SCALE_KEPT: f64 = 0.995; // part of the largest fleet seen that still counts after a second
 const PRICE_LOAD: f64 = 25.0; // price to load: 0.04 of a job's worth is a whole worker's load
 const LOT_PRICE: f64 = 3.0; // a lot for a worker that costs 0.04 counts as one of 20
 const KEY_SPREAD: f64 = 5.0; // one over the part of the fleet, from a key's first worker on, that may hold it
@@ -102,7 +102,7 @@
     slow: f64, crowd: f64,                            // run times over the usual; had no room
     free: f64, free_at: Time,                         // free slots as reported, less what we sent since
     told: LoadReport, told_held: f64,                 // the last report, and what we held then
-    credit: f64, credit_at: Time,                     // while it is cold: jobs that it may be sent
+    cold_sends: Used,                                 // while it is cold: our jobs in the newest slot
     used_at: Time, life: Time, broke_at: Time,        // our last use, its last sign of life and break
     silent: bool, doubt: u32,                         // what we hold against it
     trial_at: Time, pause_until: Time,               // when a doubted one gets a trial; pauses after 'full'
@@ -147,12 +147,12 @@
 /// The decisions of one dispatcher.
 #[derive(Default)]
 pub struct Policy {
-    set: Settings, rng: Rng, now: Time, born: Time, started: bool, traced_at: Time,
+    set: Settings, rng: Rng, now: Time, started_at: Time, born: Time, started: bool, traced_at: Time,
     jobs: BTreeMap<RequestId, Job>,
     waiting: BTreeSet<Rank>, // admitted and not sent
     tenants: Vec<Tenant>, classes: Vec<Class>, turn: usize,
     workers: Vec<Worker>, index: BTreeMap<WorkerId, usize>,
-    near: Vec<usize>, far: Vec<usize>, scale: f64, // those ready, in our zone and not; their sizes' sum
+    near: Vec<usize>, far: Vec<usize>, scale: f64, most_scale: f64, // those ready; their sizes' sum; its peak
     open: Vec<usize>,                              // those with room now, where keys count
     suspects: BTreeMap<(u8, u64), Suspect>, // by key, class, tenant
     judged: BTreeMap<(usize, (u8, u64)), (Time, f64)>, // worker and mark: kept away until; had no room
@@ -162,7 +162,7 @@
     offered: f64, recent: f64, served: f64, served_now: f64, pressure: f64,
     kinds: Vec<(f64, f64, f64)>, // run times of a kind over the usual, of how many jobs; part with room
     weights: Weights, work: f64, // what live weights tell of kinds; s at speed 1 that a job takes
-    mean_cap: f64, // slots for our jobs at a worker, over all
+    mean_cap: f64, window: Window, // slots for our jobs at a worker, over all; our jobs at all of them
     stale: f64, // the part of reports that repeat the one just before though our jobs there changed
     taken: Recent, further: Recent, // requests and further attempts, while they count
     probes: f64, probing: u32, peers: BTreeMap<u32, (Time, Vec<f64>)>,
@@ -174,7 +174,7 @@
         settings.validate()?;
         let mut policy = Policy {
             rng: Rng(seed), now, u: f64::INFINITY, tokens: 1.0,
-            mean_cap: CAP_START, work: 1.0, filled_at: now, born: now, ..Policy::default()
+            mean_cap: CAP_START, work: 1.0, filled_at: now, started_at: now, born: now, ..Policy::default()
         };
         policy.configure(settings, &[]);
         let phase = policy.rng.below(SECOND);
@@ -288,6 +288,7 @@
         job.attempt = Attempt { worker: w, sent: ago(sent), started, progressed: now, ..Attempt::default() };
         let worker = &mut self.workers[w];
         (worker.held, worker.used_at) = (worker.held + job.need, now);
+        self.window.sent(job.need);
         self.plan(self.patience(r.id), Due::Check { id: r.id, attempt: 0 });
     }
 
@@ -367,6 +368,7 @@
     }
 
     fn pick(&mut self, job: Job) -> Option<usize> {
+        if self.set.tells_start && !self.set.live_weights && !self.window.has_room(job.need) { return None; }
         let scored = self.candidates(&job).into_iter().filter_map(|i| self.score(&job, i).map(|s| (s, i)));
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
@@ -464,8 +466,7 @@
     fn load(&self, w: &Worker, job: &Job) -> Option<f64> {
         let waits = w.overdue > 0 && !w.silent && self.set.tells_start;
         let warmth = self.warmth(w);
-        let slow = warmth < COLD_USEFUL && !self.shared(); // in a large fleet the others would be full
-        let cold = warmth < 1.0 && (slow || self.cold_credit(w, warmth) < 1.0);
+        let cold = warmth < 1.0 && !self.may_start_on(w, job);
         if waits || self.now < w.pause_until || cold { return None; }
         if w.silent || w.doubt > 0 {
             // Recovery by a trickle: one job at a time, and one that may be repeated if it is lost.
@@ -509,36 +510,29 @@
 
     fn estimates(&self) -> bool { self.set.reports_free && !self.set.tells_start && !self.asks() }
 
-    fn warmth(&self, w: &Worker) -> f64 {
-        let r = &self.set.rules;
-        let age = self.now.saturating_sub(w.since);
-        if w.since == 0 || age >= r.warm_up_us { return 1.0; }
-        r.cold_share + (1.0 - r.cold_share).max(0.0) * age as f64 / r.warm_up_us as f64
+    fn warmth(&self, w: &Worker) -> f64 { slow_start::warmth(&self.set.rules, w.since, self.now) }
+
+    fn start(&self, w: &Worker) -> Start {
+        let fleet = Fleet { served: self.served, work: self.work, size: self.most_scale };
+        Start { worker: w.id, at: w.since, capacity: fleet.capacity(&self.set, w.scale) }
     }
 
-    /// All siblings send alike: each keeps to its usual rate, or its part, times warmth and a safe multiple.
-    fn cold_credit(&self, w: &Worker, warmth: f64) -> f64 {
-        let (r, all) = (&self.set.rules, self.work.max(1e-3) * f64::from(self.set.senders()));
-        let (since, grown) = (self.now - w.credit_at, (1.0 - r.cold_share).max(0.0) / 2.0);
-        let usual = if self.shared() { 1.0 / all } else { self.served / self.scale.max(1e-9) };
-        // Over this time it was less warm than now: in a large fleet nobody uses more than was there.
-        let mean = (warmth - grown * since as f64 / r.warm_up_us.max(1) as f64).max(0.0);
-        let part = if self.shared() { mean * (COLD_SAFETY + COLD_GAIN * mean) } else { warmth * COLD_SAFETY };
-        let per_us = usual * w.scale * part * r.fall_multiple / SECOND as f64;
-        (w.credit + per_us * since as f64).min((per_us * r.fall_us as f64).max(1.0))
+    fn may_start_on(&self, w: &Worker, job: &Job) -> bool {
+        let (sender, size) = (Sender::of(&self.set, self.started_at), job.work / SECOND as f64 / self.work);
+        slow_start::may_send(&self.set.rules, sender, self.start(w), w.cold_sends, self.now, size)
     }
 
     fn send(&mut self, key: Rank, w: usize, out: &mut Vec<Action>) {
-        let warmth = self.warmth(&self.workers[w]);
-        let credit = if warmth < 1.0 { self.cold_credit(&self.workers[w], warmth) - 1.0 } else { 0.0 };
+        let cold_sends = self.workers[w].cold_sends.record(&self.set.rules, self.workers[w].since, self.now);
         self.waiting.remove(&key);
         let (now, seldom) = (self.now, self.seldom());
         let Some(job) = self.jobs.get_mut(&key.2) else { return };
         let worker = &mut self.workers[w];
         let doubts = worker.silent || worker.doubt > 0;
-        (worker.credit, worker.credit_at) = (credit, now);
+        worker.cold_sends = cold_sends;
         (worker.held, worker.free, worker.used_at) = (worker.held + job.need, worker.free - job.need, now);
         worker.there += job.need; // the next list counts it
+        self.window.sent(job.need);
         if self.set.live_weights && self.set.senders() > ALL as u32 {
             let (c, speed) = (&self.set.classes[job.class], self.weights.speed(worker.kind as usize));
             let latest = c.aim_us + ((c.stretch - 1.0 / speed.max(0.1)).max(0.0) * job.work) as Time;
@@ -632,6 +626,7 @@
         (job.attempt.lost, job.attempt.overdue) = (true, false);
         let w = &mut self.workers[a.worker];
         (w.held, w.overdue) = (w.held - job.need, w.overdue - u32::from(a.overdue));
+        self.window.freed(job.need);
     }
 
     fn live(&mut self, id: RequestId, attempt: u32) -> Option<&mut Job> {
@@ -673,6 +668,7 @@
     /// The cap: up on proof of room at the cap, down on proof of none.
     fn learn_room(&mut self, w: usize, room: bool) {
         self.crowding(w, room);
+        self.window.learn(room);
         let worker = &mut self.workers[w];
         if !room {
             worker.cap = (worker.cap.min(worker.held.max(CAP_MIN)) * CAP_DOWN).max(CAP_MIN);
@@ -802,7 +798,9 @@
         let (w, usual) = (a.worker, self.classes[class].usual);
         let last = &mut self.workers[w];
         (last.overdue, last.there) = (last.overdue - u32::from(a.overdue), (last.there - job.need).max(0.0));
-        (last.held, last.used_at) = (last.held - if a.lost { 0.0 } else { job.need }, self.now);
+        let freed = if a.lost { 0.0 } else { job.need };
+        (last.held, last.used_at) = (last.held - freed, self.now);
+        self.window.freed(freed);
         // Guards against tables filled by many dispatchers' idle connections, where new ones cost nothing.
         let many = self.set.handshake_price <= 0.0 && self.set.senders() > ALL as u32;
         if last.held < 0.5 && many { out.push(Action::Release { worker: last.id }); }
@@ -931,17 +929,15 @@
         if full { self.workers.iter_mut().for_each(|w| w.unlist(soft, now)); }
         for e in entries {
             self.kinds.resize(self.kinds.len().max(e.kind as usize + 1), (1.0, 0.0, 1.0));
-            let phase = self.rng.below(1000) as f64 / if self.set.senders() > ALL as u32 { 1e3 } else { 2e3 };
             let i = *self.index.entry(e.worker).or_insert(self.workers.len());
             let fresh = i == self.workers.len();
             if fresh { self.workers.push(Worker::default()); }
             let w = &mut self.workers[i];
             if e.since > w.since || fresh {
-                // A restart knows nothing of what we learned; its credit begins at a phase of its own.
+                // A restart knows nothing of what we learned.
                 let (id, kind, zone, cell, since) = (e.worker, e.kind, e.zone, e.cell, e.since);
-                let own = Worker { cap: CAP_START, slow: 1.0, credit: phase, ..Worker::default() };
-                let (held, overdue, credit_at) = (w.held, w.overdue, self.now);
-                *w = Worker { id, kind, zone, cell, since, held, overdue, credit_at, ..own };
+                let own = Worker { held: w.held, overdue: w.overdue, ..Worker::default() };
+                *w = Worker { id, kind, zone, cell, since, cap: CAP_START, slow: 1.0, ..own };
             }
             match e.availability {
                 Availability::Ready => (w.ready, w.listed) = (true, true),
@@ -949,13 +945,17 @@
                 Availability::Gone => w.unlist(soft, now),
             }
             w.scale = if e.scale.is_finite() && e.scale > 0.0 { e.scale } else { 1.0 };
-            if shared { (w.there, w.scale) = self.weights.learn(e.kind as usize, w.scale); }
+            if !self.set.live_weights { continue; }
+            let (there, size) = self.weights.learn(e.kind as usize, w.scale);
+            (w.scale, w.there) = (size, if shared { there } else { 0.0 });
         }
         (self.near, self.far, self.scale) = Default::default();
         for (i, w) in self.workers.iter().enumerate().filter(|(_, w)| w.ready) {
             if w.zone == self.set.zone { self.near.push(i); } else { self.far.push(i); }
             self.scale += w.scale;
         }
+        self.most_scale = self.most_scale.max(self.scale);
+        self.window.resize(self.near.len() + self.far.len(), self.set.senders());
     }
 
     /// Guards against a list that grows stale unseen: a failed call is made again until one holds.
@@ -979,6 +979,7 @@
         let floor = U_FLOOR * self.served.max(std::mem::take(&mut self.served_now)) + 1.0;
         self.tell(out);
         self.set_allotments();
+        self.most_scale = self.scale.max(self.most_scale * SCALE_KEPT);
         self.mean_cap = self.mean_cap.max(self.mean_cap * 0.9 + 0.1); // a full fleet is looked at again
         let (now, mut u) = (self.now, 1.0_f64);
         self.suspects.retain(|_, s| now < s.failed_at.max(s.served_at) + 3 * MUTE);
--- /dev/null
+++ b/tests/window.rs
@@ -0,0 +1,74 @@
+//! The window over a dispatcher's jobs at all workers.
+
+mod common;
+
+use common::*;
+use dewlever::api::*;
+use dewlever::window::Window;
+
+/// A window for 60 workers and as many dispatchers.
+fn window() -> Window {
+    let mut window = Window::default();
+    window.resize(60, 60);
+    window
+}
+
+fn fill(window: &mut Window) -> usize {
+    let mut jobs = 0;
+    while window.has_room(1.0) {
+        window.sent(1.0);
+        jobs += 1;
+    }
+    jobs
+}
+
+#[test]
+fn it_grows_by_prompt_starts_while_it_is_full_and_shrinks_by_late_ones() {
+    let mut window = window();
+    let first = fill(&mut window);
+    assert_eq!(first, 4, "twice a part of one and one more");
+    let grown: usize = (0..30)
+        .map(|_| {
+            window.learn(true);
+            fill(&mut window)
+        })
+        .sum();
+    assert!(grown > 8, "{grown}");
+    (0..first + grown).for_each(|_| window.freed(1.0));
+    (0..30).for_each(|_| window.learn(true));
+    assert_eq!(fill(&mut window), first + grown, "while it stands empty it does not grow");
+    (0..1000).for_each(|_| window.learn(false));
+    (0..first + grown).for_each(|_| window.freed(1.0));
+    assert_eq!(fill(&mut window), 2, "the least");
+}
+
+#[test]
+fn a_job_larger_than_the_window_goes_alone() {
+    let mut window = window();
+    assert!(window.has_room(64.0));
+    window.sent(64.0);
+    assert!(!window.has_room(1.0));
+}
+
+/// Guards against workers that many dispatchers fill many times over: each one's cap at a worker is a job at least.
+#[test]
+fn one_of_many_dispatchers_has_few_jobs_out_where_no_list_tells_of_load() {
+    let jobs_out = |siblings: u32, live_weights: bool| {
+        let set = Settings { siblings, live_weights, ..settings(vec![class(Semantics::Safe)]) };
+        let mut desk = Desk::new(set, (0..60).map(|i| worker(i + 1, 0, 0)).collect());
+        let mut jobs_out = 0;
+        for id in 1..=60 {
+            let mut actions = desk.tell(Event::Accept(request(id)));
+            actions.extend(desk.pass(2 * MS));
+            jobs_out += actions.iter().filter(|action| matches!(action, Action::Send { .. })).count();
+        }
+        jobs_out
+    };
+    assert!(jobs_out(1, false) > 40);
+    assert!(jobs_out(60, true) > 40, "live weights tell");
+    assert_eq!(jobs_out(60, false), 4);
+}
+
+fn request(id: RequestId) -> Request {
+    Request { id, left_us: 5 * S, ..Request::default() }
+}
