--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod acts;
+pub mod allocation;
 pub mod check;
 pub mod discovery;
 pub mod disk;
@@ -17,6 +18,7 @@
 pub mod process;
 pub mod relay;
 pub mod resource;
+pub mod scale;
 pub mod show;
 pub mod wire;
 pub mod worker;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,11 +1,16 @@
 //! `rig`: plays fault plans against real processes of the program, and measures the fleet in emulated time.
 
 use clap::{Parser, Subcommand};
+use rig::allocation::{counting, CountingAllocator};
 use rig::plan::{carry_out, Outcome, Plan};
-use rig::{measure, show};
+use rig::{measure, scale, show};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Counts what is allocated, for the measurements of state in bytes.
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = counting();
+
 /// Runs many processes of the program side by side, with faults between them.
 #[derive(Parser)]
 #[command(version)]
@@ -57,6 +62,8 @@
         #[arg(long, default_value_t = 200)]
         plays: u64,
     },
+    /// Measures each role at growing sizes, and draws the capacity page from the results.
+    Scale(scale::Arguments),
     /// Measures the talk of real processes, idle and with nothing else to do.
     Idle {
         /// The program.
@@ -89,6 +96,7 @@
         Command::Play { plan, node, times, paired, views } => {
             runtime(plays(plan, node, times, paired, views))
         }
+        Command::Scale(arguments) => scale::run(&arguments, &ALLOCATOR).map_err(|e| e.to_string()),
         Command::Idle { node, nodes, plays } => runtime(async move {
             println!("{}", measure::real(&node, nodes, plays).await.map_err(|e| e.to_string())?);
             Ok(())
--- /dev/null
+++ b/rig/src/scale/dispatcher.rs
@@ -0,0 +1,333 @@
+//! The decision module of a dispatching node in emulated time, with hollow workers and clients: jobs come as a Poisson
+//! process, run for about a mean time and succeed, and the live weights of all workers are renewed each second.
+
+use super::limits::{Limits, NotRun};
+use super::list::ListBody;
+use super::processor::timed;
+use super::result::{Condition, Figures, Quantity, Recorder, Role, Value};
+use super::sealer::Sealer;
+use crate::allocation::Memory;
+use dewlever::api::{
+    Action, ClassSettings, Ending, Event, Outcome, Request, RequestId, Rules, Semantics, Settings,
+    TenantSettings, Time, WorkerId,
+};
+use dewlever::Policy;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+const SECOND: Time = 1_000_000;
+/// Between a decision to send and the worker's word that the job has started.
+const START_DELAY: Time = 5_000;
+/// Between two versions of the list.
+const LIST_PERIOD: Time = SECOND;
+/// Before the client of a job gives up, in mean run times.
+const DEADLINE_RUNS: f64 = 20.0;
+/// The price of telling a sibling, as a part of a job's worth: so low that as many are told as the module ever tells.
+const PEER_PRICE: f64 = 1e-6;
+/// Quotas are this multiple of what comes.
+const QUOTA_MARGIN: f64 = 1.25;
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Dispatching nodes in the fleet.
+    pub nodes: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Tenants.
+    pub tenants: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Task starts a second, over all nodes.
+    pub starts: f64,
+    /// The mean run time of a job.
+    pub job: Duration,
+    /// Dispatchers that are measured.
+    pub dispatchers: usize,
+    /// For which each is measured.
+    pub length: Duration,
+    /// The seed of all that is drawn.
+    pub seed: u64,
+}
+
+/// Measures several dispatchers under this load; records the decision module and what it tells its siblings.
+pub fn measure(load: &Load, limits: &Limits, recorder: &mut Recorder) {
+    let reports: Result<Vec<Report>, NotRun> =
+        (0..load.dispatchers).map(|ordinal| Dispatcher::new(load, ordinal).report(limits)).collect();
+    match reports {
+        Ok(reports) => record(load, &reports, recorder),
+        Err(reason) => {
+            recorder.not_run(Role::Dispatcher, Condition::LiveWeights, &reason);
+            recorder.not_run(Role::RateTeller, Condition::Calm, &reason);
+            recorder.not_run(Role::Discovery, Condition::LiveWeights, &reason);
+        }
+    }
+}
+
+fn record(load: &Load, reports: &[Report], recorder: &mut Recorder) {
+    let over = |quantity, of: &dyn Fn(&Report) -> f64| {
+        let value = Value::of(reports.iter().map(of).collect());
+        value.map(|value| (quantity, value))
+    };
+    let seconds = load.length.as_secs_f64();
+    let dispatcher = [
+        over(Quantity::StateBytes, &|r| r.state_bytes as f64),
+        over(Quantity::ListStateBytes, &|r| r.list_state_bytes as f64),
+        over(Quantity::ListBytes, &|r| r.list_bytes as f64 / seconds),
+        over(Quantity::ListProcessorUs, &|r| micros(r.list_time) / r.lists.max(1) as f64),
+        over(Quantity::JobProcessorUs, &|r| micros(r.job_time) / r.sends.max(1) as f64),
+        over(Quantity::ProcessorShare, &|r| (r.list_time + r.job_time).as_secs_f64() / seconds),
+        over(Quantity::Sends, &|r| r.sends as f64 / seconds),
+    ];
+    let dispatcher = dispatcher.into_iter().flatten().collect();
+    recorder.measured(Role::Dispatcher, Condition::LiveWeights, dispatcher);
+    let per_message = Sealer::new().rates(load.tenants).bytes as f64;
+    let tellers = [
+        over(Quantity::MessagesOut, &|r| r.tells as f64 / seconds),
+        over(Quantity::BytesOut, &|r| r.tells as f64 * per_message / seconds),
+    ];
+    recorder.measured(Role::RateTeller, Condition::Calm, tellers.into_iter().flatten().collect());
+    let to_all = over(Quantity::BytesOut, &|r| r.list_bytes as f64 / seconds * load.nodes as f64);
+    let discovery: Figures = to_all.into_iter().collect();
+    recorder.measured(Role::Discovery, Condition::LiveWeights, discovery);
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+/// What one dispatcher did.
+#[derive(Clone, Debug, Default)]
+struct Report {
+    state_bytes: usize,
+    list_state_bytes: usize,
+    list_bytes: usize,
+    lists: u64,
+    list_time: Duration,
+    job_time: Duration,
+    sends: u64,
+    tells: u64,
+}
+
+/// What is to happen.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Arrival,
+    List,
+    Timer,
+    Starts(RequestId, u32),
+    Ends(RequestId, u32),
+}
+
+/// One decision module, and a driver that keeps its time.
+struct Dispatcher<'a> {
+    load: &'a Load,
+    policy: Policy,
+    rng: SmallRng,
+    now: Time,
+    due: BTreeMap<(Time, u64), Due>,
+    order: u64,
+    next_request: RequestId,
+    /// The number of the last attempt of each open request.
+    attempts: HashMap<RequestId, u32>,
+    list: ListBody,
+    report: Report,
+}
+
+impl<'a> Dispatcher<'a> {
+    fn new(load: &'a Load, ordinal: usize) -> Dispatcher<'a> {
+        let mut rng = SmallRng::seed_from_u64(load.seed.wrapping_add(ordinal as u64));
+        let settings = settings(load, ordinal);
+        let policy = Policy::new(settings, rng.random(), 0).expect("the settings are well-formed");
+        let list = ListBody::drawn(1, load.workers, load.zones, &mut rng);
+        let mut dispatcher = Dispatcher {
+            load,
+            policy,
+            rng,
+            now: 0,
+            due: BTreeMap::new(),
+            order: 0,
+            next_request: 0,
+            attempts: HashMap::new(),
+            list,
+            report: Report::default(),
+        };
+        dispatcher.put(0, Due::List);
+        dispatcher.put(SECOND, Due::Arrival);
+        dispatcher
+    }
+
+    /// Runs to the end of the load, and measures the state by dropping it.
+    fn report(mut self, limits: &Limits) -> Result<Report, NotRun> {
+        let end = self.load.length.as_micros() as Time;
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= end) {
+            self.now = entry.key().0;
+            let due = entry.remove();
+            self.carry_out(due);
+            limits.check()?;
+        }
+        Ok(self.measured_state(limits.memory()))
+    }
+
+    fn measured_state(self, memory: Memory) -> Report {
+        let Dispatcher { policy, list, mut report, .. } = self;
+        report.state_bytes = memory.freed_by(|| drop(policy));
+        report.list_state_bytes = memory.freed_by(|| drop(list));
+        report
+    }
+
+    fn put(&mut self, after: Time, due: Due) {
+        self.order += 1;
+        self.due.insert((self.now + after, self.order), due);
+    }
+
+    fn carry_out(&mut self, due: Due) {
+        match due {
+            Due::Arrival => self.arrival(),
+            Due::List => self.list_renewed(),
+            Due::Timer => self.tell(&Event::Timer),
+            Due::Starts(id, attempt) => self.starts(id, attempt),
+            Due::Ends(id, attempt) => self.ends(id, attempt, Outcome::Ok),
+        }
+    }
+
+    fn arrival(&mut self) {
+        let rate = self.load.starts / self.load.nodes as f64;
+        let uniform: f64 = self.rng.random();
+        let gap = -(1.0 - uniform).ln() / rate;
+        self.put((gap * SECOND as f64) as Time + 1, Due::Arrival);
+        self.next_request += 1;
+        let job = self.load.job.as_micros() as f64;
+        let request = Request {
+            id: self.next_request,
+            tenant: self.rng.random_range(0..self.load.tenants),
+            left_us: (DEADLINE_RUNS * job) as Time,
+            slots: 1.0,
+            ..Request::default()
+        };
+        self.tell(&Event::Accept(request));
+    }
+
+    fn list_renewed(&mut self) {
+        self.put(LIST_PERIOD, Due::List);
+        let revision = self.report.lists + 1;
+        let drawn = ListBody::drawn(revision, self.load.workers, self.load.zones, &mut self.rng);
+        let body = drawn.to_json();
+        drop(drawn);
+        let mut actions = Vec::new();
+        let (now, policy) = (self.now, &mut self.policy);
+        let (list, time) = timed(|| {
+            let list = ListBody::from_json(&body).expect("it was written just now");
+            let entries = list.entries();
+            let event = if list.complete { Event::FullList(entries) } else { Event::ListChanges(entries) };
+            policy.handle(now, &event, &mut actions);
+            list
+        });
+        self.list = list;
+        self.report.lists += 1;
+        self.report.list_bytes += body.len();
+        self.report.list_time += time;
+        self.act(actions);
+    }
+
+    fn starts(&mut self, id: RequestId, attempt: u32) {
+        if self.attempts.get(&id) == Some(&attempt) {
+            self.tell(&Event::Taken { id, attempt });
+            self.tell(&Event::Started { id, attempt });
+        }
+    }
+
+    fn ends(&mut self, id: RequestId, attempt: u32, outcome: Outcome) {
+        if self.attempts.get(&id) != Some(&attempt) {
+            return;
+        }
+        let last = outcome == Outcome::Ok;
+        if last {
+            self.attempts.remove(&id);
+        }
+        let ending = Ending { id, attempt, outcome, last, kept: false, report: None };
+        self.tell(&Event::Ended(ending));
+    }
+
+    fn tell(&mut self, event: &Event) {
+        let mut actions = Vec::new();
+        let (now, policy) = (self.now, &mut self.policy);
+        let ((), time) = timed(|| policy.handle(now, event, &mut actions));
+        self.report.job_time += time;
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { id, worker } => self.send(id, worker),
+                Action::Refuse { id, .. } | Action::Fail { id } => {
+                    self.attempts.remove(&id);
+                }
+                Action::Cancel { id, attempt } => self.ends(id, attempt, Outcome::Cancelled),
+                Action::Timer { after_us } => self.put(after_us, Due::Timer),
+                Action::Tell { bytes, .. } => self.told(bytes),
+                Action::Probe { .. } | Action::Watch | Action::Release { .. } | Action::Trace(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, _worker: WorkerId) {
+        self.report.sends += 1;
+        let attempt = self.attempts.get(&id).map_or(0, |last| last + 1);
+        self.attempts.insert(id, attempt);
+        let job = self.load.job.as_micros() as f64 * self.rng.random_range(0.5..1.5);
+        self.put(START_DELAY, Due::Starts(id, attempt));
+        self.put(START_DELAY + job as Time, Due::Ends(id, attempt));
+    }
+
+    /// All nodes tell as many others as this one does, so as many messages come in.
+    fn told(&mut self, bytes: Vec<u8>) {
+        self.report.tells += 1;
+        let from = self.rng.random_range(0..self.load.nodes) as u32;
+        self.tell(&Event::PeerMessage { from, bytes });
+    }
+}
+
+fn settings(load: &Load, ordinal: usize) -> Settings {
+    let job = load.job.as_micros() as Time;
+    let class = ClassSettings {
+        aim_us: job,
+        stretch: 2.0,
+        deadline_us: (DEADLINE_RUNS * job as f64) as Time,
+        worth: 1.0,
+        late_worth: 0.5,
+        semantics: Semantics::Safe,
+        repeat_window_us: 0,
+        kind: None,
+    };
+    let quota_per_s = QUOTA_MARGIN * load.starts / load.tenants as f64;
+    let tenant = TenantSettings { quota_per_s, share: 1.0 / load.tenants as f64 };
+    Settings {
+        classes: vec![class],
+        tenants: vec![tenant; load.tenants],
+        siblings: load.nodes as u32,
+        ordinal: ordinal as u32,
+        zone: (ordinal % load.zones) as u8,
+        max_attempts: 3,
+        cancelling: true,
+        peers: true,
+        peer_price: PEER_PRICE,
+        live_weights: true,
+        tells_taken: true,
+        tells_start: true,
+        over_share_worth: 0.2,
+        resolution_us: 1000,
+        rules: Rules {
+            ask_every_us: 10 * SECOND,
+            cold_share: 0.2,
+            warm_up_us: 20 * SECOND,
+            fall_multiple: 3.0,
+            fall_us: SECOND,
+            ..Rules::default()
+        },
+        ..Settings::default()
+    }
+}
--- /dev/null
+++ b/rig/src/scale/estimate.rs
@@ -0,0 +1,96 @@
+//! Requirements at their planned sizes: measured there, or extrapolated.
+
+use super::fit::{Estimate, Fit, Law, Point};
+use super::requirement::{planned, Requirement};
+use super::result::{Outcome, Run};
+use super::table::number;
+
+/// A requirement and what the results say of it.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The requirement.
+    pub requirement: Requirement,
+    /// The size that is planned for.
+    pub planned: f64,
+    /// The sizes at which it was measured.
+    pub sizes: Vec<f64>,
+    /// The figure at the planned size; `None` where there are too few measurements.
+    pub estimate: Option<Estimate>,
+    /// Whether the planned size itself was measured.
+    pub is_measured: bool,
+    /// The law that fits the measurements.
+    pub fit: Option<Fit>,
+}
+
+impl Row {
+    /// The figure as a multiple of its budget; `None` where there is no bound or no figure.
+    pub fn times_budget(&self) -> Option<f64> {
+        Some(self.estimate?.value / self.requirement.budget.bound()?)
+    }
+
+    /// Whether the figure is above its bound.
+    pub fn is_over_budget(&self) -> bool {
+        self.times_budget().is_some_and(|times| times > 1.0)
+    }
+
+    /// How far the planned size lies beyond the largest measured one, as a factor; 1 where it does not.
+    pub fn beyond(&self) -> f64 {
+        let largest = self.sizes.iter().copied().fold(0.0, f64::max);
+        if largest > 0.0 {
+            (self.planned / largest).max(1.0)
+        } else {
+            1.0
+        }
+    }
+
+    /// The fitted law, in short.
+    pub fn law(&self) -> String {
+        match self.fit {
+            Some(Fit { law: Law::Power, slope, .. }) => format!("size^{slope:.2}"),
+            Some(Fit { law: Law::Linear, intercept, slope, .. }) => {
+                format!("{} + {} × size", number(intercept), number(slope))
+            }
+            None => "none".to_string(),
+        }
+    }
+}
+
+/// All requirements, furthest over their budgets first.
+pub fn estimates(requirements: &[Requirement], runs: &[Run]) -> Vec<Row> {
+    let mut rows: Vec<Row> = requirements.iter().map(|requirement| row(requirement, runs)).collect();
+    let times = |row: &Row| row.times_budget().unwrap_or(f64::NEG_INFINITY);
+    rows.sort_by(|a, b| times(b).total_cmp(&times(a)));
+    rows
+}
+
+fn row(requirement: &Requirement, runs: &[Run]) -> Row {
+    let points = points(requirement, runs);
+    let planned = planned(requirement.axis) as f64;
+    let measured = points.iter().find(|point| point.size == planned);
+    let fit = Fit::of(&points);
+    let exact = measured.map(|point| Estimate { value: point.value, low: point.value, high: point.value });
+    Row {
+        requirement: *requirement,
+        planned,
+        sizes: points.iter().map(|point| point.size).collect(),
+        estimate: exact.or_else(|| fit.map(|fit| fit.estimate(planned))),
+        is_measured: measured.is_some(),
+        fit,
+    }
+}
+
+/// The worst process' figure at each size that was measured.
+fn points(requirement: &Requirement, runs: &[Run]) -> Vec<Point> {
+    let measurements = runs.iter().flat_map(|run| &run.measurements);
+    let wanted = measurements.filter(|m| {
+        m.axis == requirement.axis && m.role == requirement.role && m.condition == requirement.condition
+    });
+    let point = wanted.filter_map(|m| match &m.outcome {
+        Outcome::Measured(figures) => {
+            let value = figures.get(&requirement.quantity)?.worst;
+            Some(Point { size: m.size as f64, value })
+        }
+        Outcome::NotRun(_) => None,
+    });
+    point.collect()
+}
--- /dev/null
+++ b/rig/src/scale/fit.rs
@@ -0,0 +1,128 @@
+//! Least-squares fits of a figure against a size, and estimates with a prediction interval.
+
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// The part of new values that lies within an estimate's interval, if the law holds.
+const CONFIDENCE: f64 = 0.95;
+/// Points that a fit with an interval needs at least: two parameters and one degree of freedom.
+pub const POINTS_MIN: usize = 3;
+
+/// A figure that was measured at a size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Point {
+    /// The size.
+    pub size: f64,
+    /// The figure.
+    pub value: f64,
+}
+
+/// How a figure grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Law {
+    /// `intercept + slope * size`.
+    Linear,
+    /// `exp(intercept) * size ^ slope`.
+    Power,
+}
+
+/// A law fitted to points.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// Which law.
+    pub law: Law,
+    /// Its intercept, on the law's own scale.
+    pub intercept: f64,
+    /// Its slope; for a power law the exponent.
+    pub slope: f64,
+    points: f64,
+    mean: f64,
+    /// The sum of squares of the sizes about their mean.
+    spread: f64,
+    /// The standard deviation of the residuals.
+    deviation: f64,
+    /// Squared relative errors at the points, summed.
+    error: f64,
+}
+
+/// A figure at a size that may not have been measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// The most likely value.
+    pub value: f64,
+    /// The lower end of the interval.
+    pub low: f64,
+    /// The upper end of the interval.
+    pub high: f64,
+}
+
+impl Fit {
+    /// The law that fits these points better; `None` of fewer than [`POINTS_MIN`] sizes.
+    pub fn of(points: &[Point]) -> Option<Fit> {
+        let linear = Fit::with(Law::Linear, points)?;
+        let power = Fit::with(Law::Power, points);
+        Some(power.filter(|power| power.error < linear.error).unwrap_or(linear))
+    }
+
+    /// A fit of one law; `None` of too few sizes, and of a power law where a figure is not above zero.
+    pub fn with(law: Law, points: &[Point]) -> Option<Fit> {
+        let positive = points.iter().all(|p| p.size > 0.0 && p.value > 0.0);
+        if points.len() < POINTS_MIN || (law == Law::Power && !positive) {
+            return None;
+        }
+        let scaled: Vec<Point> = points.iter().map(|point| law.scale(*point)).collect();
+        let count = scaled.len() as f64;
+        let mean = scaled.iter().map(|p| p.size).sum::<f64>() / count;
+        let mean_value = scaled.iter().map(|p| p.value).sum::<f64>() / count;
+        let spread = scaled.iter().map(|p| (p.size - mean).powi(2)).sum::<f64>();
+        if spread <= 0.0 {
+            return None;
+        }
+        let product = scaled.iter().map(|p| (p.size - mean) * (p.value - mean_value)).sum::<f64>();
+        let slope = product / spread;
+        let intercept = mean_value - slope * mean;
+        let residual = |p: &Point| p.value - intercept - slope * p.size;
+        let residuals = scaled.iter().map(|p| residual(p).powi(2)).sum::<f64>();
+        let deviation = (residuals / (count - 2.0)).sqrt();
+        let mut fit = Fit { law, intercept, slope, points: count, mean, spread, deviation, error: 0.0 };
+        fit.error = points.iter().map(|p| fit.relative_error(p).powi(2)).sum();
+        Some(fit)
+    }
+
+    /// The figure at a size, with its prediction interval.
+    pub fn estimate(&self, size: f64) -> Estimate {
+        let scaled = self.law.scale(Point { size, value: 1.0 }).size;
+        let middle = self.intercept + self.slope * scaled;
+        let distance = (scaled - self.mean).powi(2) / self.spread;
+        let error = self.deviation * (1.0 + 1.0 / self.points + distance).sqrt();
+        let reach = student_quantile(self.points - 2.0) * error;
+        let value = |at: f64| self.law.unscale(at);
+        Estimate { value: value(middle), low: value(middle - reach), high: value(middle + reach) }
+    }
+
+    fn relative_error(&self, point: &Point) -> f64 {
+        let fitted = self.estimate(point.size).value;
+        (fitted - point.value) / point.value.abs().max(f64::MIN_POSITIVE)
+    }
+}
+
+impl Law {
+    fn scale(self, point: Point) -> Point {
+        match self {
+            Law::Linear => point,
+            Law::Power => Point { size: point.size.ln(), value: point.value.ln() },
+        }
+    }
+
+    fn unscale(self, value: f64) -> f64 {
+        match self {
+            Law::Linear => value,
+            Law::Power => value.exp(),
+        }
+    }
+}
+
+/// How many standard errors a prediction interval reaches to each side.
+fn student_quantile(degrees: f64) -> f64 {
+    let distribution = StudentsT::new(0.0, 1.0, degrees).expect("there is a degree of freedom");
+    distribution.inverse_cdf(1.0 - (1.0 - CONFIDENCE) / 2.0)
+}
--- /dev/null
+++ b/rig/src/scale/membership.rs
@@ -0,0 +1,263 @@
+//! The membership machine of every node, in emulated time: state, traffic and processor time while nothing happens, and the
+//! time until a change is in force at all nodes.
+
+use super::limits::{Limits, NotRun};
+use super::processor::Stopwatch;
+use super::result::{Condition, Figures, Quantity, Recorder, Role, Value};
+use super::traffic::Traffic;
+use crate::emulated::{address, name, Spec as WorldSpec, World};
+use fleet::{Note, Phase};
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Emulated time between two looks at the limits.
+const SLICE: Duration = Duration::from_millis(250);
+/// Emulated time that the nodes have to reach equal views.
+const SETTLE_MAX: Duration = Duration::from_secs(300);
+/// Emulated time that a change has until it is in force everywhere.
+const IN_FORCE_MAX: Duration = Duration::from_secs(60);
+/// Emulated time for which traffic is counted from a change on.
+const CHANGE_WINDOW: Duration = Duration::from_secs(10);
+/// Emulated time for which the news of one change are spread before the next one is made.
+const PAUSE: Duration = Duration::from_secs(10);
+
+/// The conditions that [`measure`] records, in this order.
+pub const CONDITIONS: [Condition; 5] = [
+    Condition::Calm,
+    Condition::PhaseChange,
+    Condition::Crashes,
+    Condition::ZoneLost,
+    Condition::ZoneReturns,
+];
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Nodes.
+    pub nodes: usize,
+    /// The seed of all that is drawn.
+    pub seed: u64,
+    /// From equal views to the start of the measurement.
+    pub warm_up: Duration,
+    /// For which the calm fleet is measured.
+    pub calm: Duration,
+    /// Nodes that are killed at once.
+    pub crashes: usize,
+    /// Zones, of which one is lost.
+    pub zones: usize,
+}
+
+/// Measures a fleet under each of [`CONDITIONS`]; those that a limit cuts off are recorded as not run.
+pub fn measure(spec: &Spec, limits: &Limits, recorder: &mut Recorder) {
+    if let Err(reason) = measure_all(spec, limits, recorder) {
+        recorder.rest_not_run(Role::Member, &CONDITIONS, &reason);
+    }
+}
+
+fn measure_all(spec: &Spec, limits: &Limits, recorder: &mut Recorder) -> Result<(), NotRun> {
+    let mut fleet = Fleet::settled(spec, limits)?;
+    fleet.run(spec.warm_up)?;
+    let calm = fleet.calm(spec.calm)?;
+    let phase = fleet.phase_change(spec.nodes / 2)?;
+    fleet.run(PAUSE)?;
+    let crashes = fleet.crashes(&spread_out(spec.nodes, spec.crashes))?;
+    let calm = with_state(calm, &crashes.state);
+    recorder.measured(Role::Member, Condition::Calm, calm);
+    recorder.measured(Role::Member, Condition::PhaseChange, phase);
+    recorder.measured(Role::Member, Condition::Crashes, crashes.figures);
+    fleet.run(PAUSE)?;
+    let zone: Vec<usize> = (0..spec.nodes).filter(|i| i % spec.zones == 1 % spec.zones).collect();
+    let zone: Vec<usize> = zone.into_iter().filter(|i| fleet.world.runs(*i)).collect();
+    let lost = fleet.crashes(&zone)?;
+    recorder.measured(Role::Member, Condition::ZoneLost, lost.figures);
+    fleet.run(PAUSE)?;
+    let returns = fleet.zone_returns(&zone)?;
+    recorder.measured(Role::Member, Condition::ZoneReturns, returns);
+    Ok(())
+}
+
+/// So many nodes that lie apart, none of them a seed or the one that changes its phase.
+fn spread_out(nodes: usize, count: usize) -> Vec<usize> {
+    let seeds = WorldSpec::default().seeds;
+    let free: Vec<usize> = (seeds..nodes).filter(|i| *i != nodes / 2).collect();
+    let count = count.min(free.len());
+    (0..count).map(|i| free[i * free.len() / count]).collect()
+}
+
+fn with_state(mut figures: Figures, state: &[f64]) -> Figures {
+    if let Some(state) = Value::of(state.to_vec()) {
+        figures.insert(Quantity::StateBytes, state);
+    }
+    figures
+}
+
+/// What a crash of several nodes showed.
+struct Crashes {
+    figures: Figures,
+    /// The state that each of the killed nodes held, in bytes.
+    state: Vec<f64>,
+}
+
+/// A fleet whose views were equal once.
+struct Fleet<'a> {
+    world: World,
+    limits: &'a Limits,
+    nodes: usize,
+}
+
+impl<'a> Fleet<'a> {
+    fn settled(spec: &Spec, limits: &'a Limits) -> Result<Fleet<'a>, NotRun> {
+        let world_spec = WorldSpec { nodes: spec.nodes, seed: spec.seed, ..WorldSpec::default() };
+        let world = World::started(world_spec);
+        let mut fleet = Fleet { world, limits, nodes: spec.nodes };
+        fleet.until_equal()?;
+        Ok(fleet)
+    }
+
+    /// Lets emulated time pass, within the limits.
+    fn run(&mut self, span: Duration) -> Result<(), NotRun> {
+        let end = self.world.now() + span;
+        while self.world.now() < end {
+            let left = end - self.world.now();
+            self.world.run(SLICE.min(left));
+            self.limits.check()?;
+        }
+        self.world.notes.clear();
+        Ok(())
+    }
+
+    /// Lets emulated time pass until all running nodes have equal views of all of them.
+    fn until_equal(&mut self) -> Result<(), NotRun> {
+        let end = self.world.now() + SETTLE_MAX;
+        while !self.views_are_equal() {
+            if self.world.now() >= end {
+                return Err(NotRun::NotSettled { after_s: SETTLE_MAX.as_secs() });
+            }
+            self.run(SLICE)?;
+        }
+        Ok(())
+    }
+
+    fn views_are_equal(&mut self) -> bool {
+        let running = self.running();
+        let digests: HashSet<Option<u64>> = running.iter().map(|i| self.digest(*i)).collect();
+        digests.len() == 1 && !digests.contains(&None) && self.sees(running[0], running.len())
+    }
+
+    fn digest(&mut self, node: usize) -> Option<u64> {
+        self.world.with(node, |machine, _| machine.digest()).flatten()
+    }
+
+    /// Whether a node sees so many others and itself there.
+    fn sees(&self, node: usize, running: usize) -> bool {
+        let view = self.world.view(node);
+        let there = |view: &fleet::View| view.members.iter().filter(|m| m.status.there()).count();
+        view.is_some_and(|view| there(&view) == running)
+    }
+
+    fn running(&self) -> Vec<usize> {
+        (0..self.nodes).filter(|i| self.world.runs(*i)).collect()
+    }
+
+    /// The traffic of the running nodes while `during` lasts.
+    fn traffic(&self) -> Traffic {
+        Traffic::of(self.running().into_iter().map(|i| (i, self.world.figures(i))))
+    }
+
+    fn calm(&mut self, length: Duration) -> Result<Figures, NotRun> {
+        let before = self.traffic();
+        let stopwatch = Stopwatch::start();
+        self.run(length)?;
+        let mut figures = self.figures_since(&before, length, &stopwatch);
+        figures.insert(Quantity::ExchangeBytes, Value::single(self.whole_state_bytes() as f64));
+        Ok(figures)
+    }
+
+    /// Traffic and processor time since `before`. The emulator's own work is in the processor time: it is an upper bound.
+    fn figures_since(&self, before: &Traffic, span: Duration, stopwatch: &Stopwatch) -> Figures {
+        let processor = stopwatch.elapsed().as_secs_f64();
+        let node_seconds = self.running().len() as f64 * span.as_secs_f64();
+        let mut figures = self.traffic().since(before, span);
+        figures.insert(Quantity::ProcessorShare, Value::single(processor / node_seconds));
+        figures
+    }
+
+    fn whole_state_bytes(&mut self) -> usize {
+        let length = |machine: &mut fleet::Machine, now| machine.ask_state(now, address(1), 1).1.len();
+        self.world.with(0, length).unwrap_or(0)
+    }
+
+    fn phase_change(&mut self, node: usize) -> Result<Figures, NotRun> {
+        let others = self.running().len() - 1;
+        let draining = |note: &Note| matches!(note, Note::Up(id) if id.phase == Phase::Draining);
+        self.world.notes.clear();
+        let (before, changed_at) = (self.traffic(), self.world.now());
+        self.world.with(node, |machine, now| machine.phase(now, true));
+        self.until_noted(changed_at, others, draining, &before)
+    }
+
+    fn crashes(&mut self, killed: &[usize]) -> Result<Crashes, NotRun> {
+        self.world.notes.clear();
+        let (changed_at, memory) = (self.world.now(), self.limits.memory());
+        let state: Vec<f64> =
+            killed.iter().map(|node| memory.freed_by(|| self.world.kill(*node)) as f64).collect();
+        let names: HashSet<String> = killed.iter().map(|node| name(*node)).collect();
+        let before = self.traffic();
+        let reports = before.nodes() * killed.len();
+        let down = |note: &Note| matches!(note, Note::Down(id) if names.contains(&id.name));
+        let figures = self.until_noted(changed_at, reports, down, &before)?;
+        Ok(Crashes { figures, state })
+    }
+
+    /// Runs until so many notes of this kind have come, and through the window in which traffic is counted; the figures
+    /// are those of the window and the delays of the notes.
+    fn until_noted(
+        &mut self,
+        changed_at: Duration,
+        expected: usize,
+        wanted: impl Fn(&Note) -> bool,
+        before: &Traffic,
+    ) -> Result<Figures, NotRun> {
+        let mut delays = Vec::with_capacity(expected);
+        let mut figures = Figures::new();
+        let stopwatch = Stopwatch::start();
+        loop {
+            self.world.run(SLICE);
+            self.limits.check()?;
+            let noted = std::mem::take(&mut self.world.notes);
+            let wanted = noted.iter().filter(|(_, _, note)| wanted(note));
+            delays.extend(wanted.map(|(at, _, _)| (*at - changed_at).as_secs_f64() * 1e3));
+            let passed = self.world.now() - changed_at;
+            if passed >= CHANGE_WINDOW && figures.is_empty() {
+                figures = self.figures_since(before, passed, &stopwatch);
+            }
+            if delays.len() >= expected && !figures.is_empty() {
+                break;
+            }
+            if passed >= IN_FORCE_MAX {
+                let after_s = IN_FORCE_MAX.as_secs();
+                return Err(NotRun::NotInForce { reached: delays.len(), of: expected, after_s });
+            }
+        }
+        if let Some(in_force) = Value::of(delays) {
+            figures.insert(Quantity::InForceMs, in_force);
+        }
+        Ok(figures)
+    }
+
+    fn zone_returns(&mut self, zone: &[usize]) -> Result<Figures, NotRun> {
+        zone.iter().for_each(|node| self.world.start(*node));
+        let (before, started) = (self.traffic(), self.world.now());
+        let stopwatch = Stopwatch::start();
+        self.until_equal()?;
+        let took = self.world.now() - started;
+        let mut figures = self.figures_since(&before, took, &stopwatch);
+        let state_rate = self.whole_state_bytes() as f64 / took.as_secs_f64();
+        if let Some(exchanges) = figures.get(&Quantity::Exchanges).copied() {
+            let (median, worst) = (exchanges.median * state_rate, exchanges.worst * state_rate);
+            figures.insert(Quantity::ExchangeBytesIn, Value { median, worst });
+        }
+        figures.insert(Quantity::InForceMs, Value::single(took.as_secs_f64() * 1e3));
+        Ok(figures)
+    }
+}
--- /dev/null
+++ b/rig/src/scale/mod.rs
@@ -0,0 +1,28 @@
+//! Scale tests: the state machines of many hollow processes at growing sizes, in emulated time, and the capacity page that
+//! is worked out from what they showed.
+//!
+//! `rig scale` measures by a plan and keeps each axis' results as JSON; `--page` writes the generated part of the page,
+//! and `--check` fails where page and results differ.
+
+mod arguments;
+pub mod broadcast;
+pub mod chart;
+pub mod dispatcher;
+pub mod estimate;
+pub mod fit;
+pub mod limits;
+pub mod list;
+pub mod membership;
+pub mod page;
+pub mod plan;
+mod processor;
+pub mod requirement;
+pub mod result;
+mod run;
+mod sealer;
+pub mod store;
+mod table;
+mod traffic;
+
+pub use arguments::Arguments;
+pub use run::{measure, run, Failure};
--- /dev/null
+++ b/rig/src/scale/run.rs
@@ -0,0 +1,188 @@
+//! Carries a plan out, axis by axis, and does what the command line asks for.
+
+use super::arguments::Arguments;
+use super::limits::Limits;
+use super::page::PageError;
+use super::plan::{BadPlan, Plan, AXES};
+use super::result::{Axis, Measurement, Recorder, Run, FORMAT};
+use super::store::{self, StoreError};
+use super::{broadcast, chart, dispatcher, membership, page};
+use crate::allocation::{CountingAllocator, Memory};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Why `rig scale` failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The plan can't be read.
+    #[error("cannot read {}: {source}", path.display())]
+    PlanFile {
+        /// The plan.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The plan is not a good one.
+    #[error("{}: {source}", path.display())]
+    Plan {
+        /// The plan.
+        path: PathBuf,
+        /// Where and why.
+        source: BadPlan,
+    },
+    /// Results can't be kept or read.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The chart can't be drawn.
+    #[error(transparent)]
+    Chart(#[from] chart::ChartError),
+    /// The page can't be written, or differs from the results.
+    #[error(transparent)]
+    Page(#[from] PageError),
+}
+
+/// Does what the command line asks for.
+pub fn run(arguments: &Arguments, allocator: &'static CountingAllocator) -> Result<(), Failure> {
+    if let Some(path) = &arguments.page {
+        return Ok(page::write(path, &store::read_all(&arguments.results)?)?);
+    }
+    if let Some(path) = &arguments.check {
+        return Ok(page::check(path, &store::read_all(&arguments.results)?)?);
+    }
+    measure_and_keep(arguments, Memory::new(allocator))
+}
+
+fn measure_and_keep(arguments: &Arguments, memory: Memory) -> Result<(), Failure> {
+    let plan = read_plan(&arguments.plan)?;
+    let wanted = |axis: &Axis| arguments.axis.is_empty() || arguments.axis.contains(axis);
+    let axes: Vec<Axis> =
+        AXES.into_iter().filter(wanted).filter(|axis| !plan.sizes(*axis).is_empty()).collect();
+    let progress = progress_bar(axes.iter().map(|axis| plan.sizes(*axis).len()).sum());
+    for axis in axes {
+        let started = Instant::now();
+        let measurements = measure(&plan, axis, memory, &progress);
+        let run = describe(&plan, axis, &arguments.plan, measurements, started.elapsed());
+        store::keep(&arguments.results, axis, &run)?;
+    }
+    progress.finish_and_clear();
+    let runs = store::read_all(&arguments.results)?;
+    chart::draw(&arguments.results.join("scale.svg"), &runs)?;
+    Ok(())
+}
+
+fn read_plan(path: &Path) -> Result<Plan, Failure> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| Failure::PlanFile { path: path.to_path_buf(), source })?;
+    Plan::parse(&text).map_err(|source| Failure::Plan { path: path.to_path_buf(), source })
+}
+
+fn progress_bar(steps: usize) -> ProgressBar {
+    let progress = ProgressBar::new(steps as u64);
+    if let Ok(style) = ProgressStyle::with_template("{elapsed_precise} {bar:30} {pos}/{len} {msg}") {
+        progress.set_style(style);
+    }
+    progress.enable_steady_tick(Duration::from_secs(1));
+    progress
+}
+
+/// Measures an axis of a plan at each of its sizes.
+pub fn measure(plan: &Plan, axis: Axis, memory: Memory, progress: &ProgressBar) -> Vec<Measurement> {
+    let mut measurements = Vec::new();
+    for size in plan.sizes(axis) {
+        progress.set_message(format!("{axis:?} {size}"));
+        measurements.extend(measure_size(plan, axis, *size, memory));
+        progress.inc(1);
+    }
+    measurements
+}
+
+fn measure_size(plan: &Plan, axis: Axis, size: u64, memory: Memory) -> Vec<Measurement> {
+    let mut recorder = Recorder::new(axis, size);
+    let limits = Limits::start(memory, plan.memory_mb(), plan.time_limit());
+    match axis {
+        Axis::Nodes => membership::measure(&member_spec(plan, size), &limits, &mut recorder),
+        Axis::Zones => broadcast::measure(&zone_spec(plan, axis, size), &limits, &mut recorder),
+        Axis::Tenants | Axis::Starts => {
+            dispatcher::measure(&load(plan, axis, size), &limits, &mut recorder);
+        }
+        Axis::Workers | Axis::Together => {
+            dispatcher::measure(&load(plan, axis, size), &limits, &mut recorder);
+            broadcast::measure(&zone_spec(plan, axis, size), &limits, &mut recorder);
+        }
+    }
+    recorder.finish()
+}
+
+fn member_spec(plan: &Plan, nodes: u64) -> membership::Spec {
+    let emulation = &plan.emulation;
+    membership::Spec {
+        nodes: nodes as usize,
+        seed: plan.seed,
+        warm_up: Duration::from_secs(emulation.warm_up_s),
+        calm: Duration::from_secs(*emulation.calm_s.get_ref()),
+        crashes: *emulation.crashes.get_ref() as usize,
+        zones: *emulation.member_zones.get_ref() as usize,
+    }
+}
+
+/// One zone of the nodes that share lists, with the workers of all zones.
+fn zone_spec(plan: &Plan, axis: Axis, size: u64) -> broadcast::Spec {
+    let load = load(plan, axis, size);
+    let nodes = *plan.emulation.list_nodes.get_ref() as usize;
+    broadcast::Spec {
+        nodes: nodes.div_ceil(load.zones),
+        workers: load.workers,
+        zones: load.zones,
+        seed: plan.seed,
+    }
+}
+
+fn load(plan: &Plan, axis: Axis, size: u64) -> dispatcher::Load {
+    let (base, emulation) = (&plan.base, &plan.emulation);
+    let together = axis == Axis::Together;
+    let size_of = |of: Axis, base: u64| match axis {
+        _ if axis == of => size,
+        _ if together => plan.largest(of, base),
+        _ => base,
+    };
+    let starts = match axis {
+        Axis::Starts => size as f64,
+        _ if together => plan.largest(Axis::Starts, *base.starts.get_ref() as u64) as f64,
+        _ => *base.starts.get_ref(),
+    };
+    dispatcher::Load {
+        nodes: if together { size } else { *base.nodes.get_ref() } as usize,
+        workers: size_of(Axis::Workers, *base.workers.get_ref()) as usize,
+        tenants: size_of(Axis::Tenants, *base.tenants.get_ref()) as usize,
+        zones: size_of(Axis::Zones, *base.zones.get_ref()) as usize,
+        starts,
+        job: Duration::from_secs_f64(*emulation.job_s.get_ref()),
+        dispatchers: *emulation.dispatchers.get_ref() as usize,
+        length: Duration::from_secs(*emulation.dispatch_s.get_ref()),
+        seed: plan.seed,
+    }
+}
+
+fn describe(plan: &Plan, axis: Axis, path: &Path, measurements: Vec<Measurement>, took: Duration) -> Run {
+    let axis_name = format!("{axis:?}").to_lowercase();
+    Run {
+        format: FORMAT,
+        command: format!("rig scale {} --axis {axis_name}", path.display()),
+        seed: plan.seed,
+        date: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
+        commit: commit(),
+        version: env!("CARGO_PKG_VERSION").to_string(),
+        processors: std::thread::available_parallelism().map_or(1, usize::from),
+        took_s: took.as_secs(),
+        measurements,
+    }
+}
+
+/// The commit of the working folder, with `+` where files differ from it; `unknown` outside of a repository.
+fn commit() -> String {
+    let output = Command::new("git").args(["describe", "--always", "--dirty=+", "--abbrev=7"]).output();
+    let text = output.ok().filter(|o| o.status.success()).and_then(|o| String::from_utf8(o.stdout).ok());
+    text.map_or("unknown".to_string(), |text| text.trim().to_string())
+}
--- /dev/null
+++ b/rig/src/scale/sealer.rs
@@ -0,0 +1,61 @@
+//! What messages between nodes take once the membership machine has sealed them, measured by sending one.
+
+use crate::emulated::{address, name, Spec, World};
+use fleet::Machine;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Until two nodes have met.
+const MEET: Duration = Duration::from_secs(10);
+/// A rate of a tenant, in 64ths of a job a second.
+const RATE: u16 = 64;
+
+/// The size of a message as it is sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sealed {
+    /// Datagrams.
+    pub datagrams: u64,
+    /// Their bytes in all.
+    pub bytes: u64,
+}
+
+/// Two nodes that have met.
+pub struct Sealer {
+    world: World,
+    words: HashMap<usize, Sealed>,
+}
+
+impl Sealer {
+    /// Starts the two nodes.
+    pub fn new() -> Sealer {
+        let mut world = World::started(Spec { nodes: 2, ..Spec::default() });
+        world.run(MEET);
+        Sealer { world, words: HashMap::new() }
+    }
+
+    /// A message with the rates of so many tenants. The membership machine leaves out those beyond `fleet::RATES_MAX`.
+    pub fn rates(&mut self, tenants: usize) -> Sealed {
+        let rates = (0..tenants).map(|i| (fleet::hash(&format!("tenant-{i}")), RATE)).collect();
+        self.sent_by(|machine, now| machine.tell(now, &name(1), rates))
+    }
+
+    /// A word of another subsystem of so many bytes.
+    pub fn word(&mut self, length: usize) -> Sealed {
+        if let Some(sealed) = self.words.get(&length) {
+            return *sealed;
+        }
+        let bytes = vec![0; length];
+        let sealed = self.sent_by(|machine, now| machine.word(now, address(1), &bytes));
+        self.words.insert(length, sealed);
+        sealed
+    }
+
+    fn sent_by(&mut self, send: impl FnOnce(&mut Machine, Duration)) -> Sealed {
+        let before = self.world.figures(0);
+        self.world.with(0, send);
+        let after = self.world.figures(0);
+        // What is on its way arrives before the next message is sent.
+        self.world.run(Duration::from_millis(1));
+        Sealed { datagrams: after.sent - before.sent, bytes: after.sent_bytes - before.sent_bytes }
+    }
+}
--- /dev/null
+++ b/rig/src/scale/store.rs
@@ -0,0 +1,66 @@
+//! Kept results: a JSON file for each axis in one folder.
+
+use super::plan::AXES;
+use super::result::{Axis, Run, FORMAT};
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// Why kept results can't be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The file can't be read or written.
+    #[error("{}: {source}", path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The file holds no results of this version.
+    #[error("{}: {what}", path.display())]
+    Content {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        what: String,
+    },
+}
+
+/// The file of an axis.
+pub fn file(folder: &Path, axis: Axis) -> PathBuf {
+    let name = match axis {
+        Axis::Nodes => "nodes.json",
+        Axis::Workers => "workers.json",
+        Axis::Tenants => "tenants.json",
+        Axis::Zones => "zones.json",
+        Axis::Starts => "starts.json",
+        Axis::Together => "together.json",
+    };
+    folder.join(name)
+}
+
+/// Keeps the results of one axis.
+pub fn keep(folder: &Path, axis: Axis, run: &Run) -> Result<(), StoreError> {
+    let path = file(folder, axis);
+    let text = serde_json::to_string_pretty(run)
+        .map_err(|e| StoreError::Content { path: path.clone(), what: e.to_string() })?;
+    let written = std::fs::create_dir_all(folder).and_then(|()| std::fs::write(&path, text + "\n"));
+    written.map_err(|source| StoreError::File { path, source })
+}
+
+/// Reads all kept results, in the order of the axes.
+pub fn read_all(folder: &Path) -> Result<Vec<Run>, StoreError> {
+    let files = AXES.iter().map(|axis| file(folder, *axis)).filter(|path| path.exists());
+    files.map(|path| read(&path)).collect()
+}
+
+fn read(path: &Path) -> Result<Run, StoreError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| StoreError::File { path: path.to_path_buf(), source })?;
+    let content = |what: String| StoreError::Content { path: path.to_path_buf(), what };
+    let run: Run = serde_json::from_str(&text).map_err(|e| content(e.to_string()))?;
+    if run.format != FORMAT {
+        return Err(content(format!("format {} in place of {FORMAT}", run.format)));
+    }
+    Ok(run)
+}
