--- a/rig/src/scale/mod.rs
+++ b/rig/src/scale/mod.rs
@@ -23,6 +23,7 @@
 pub mod store;
 mod table;
 mod traffic;
+pub mod voting;
 
 pub use arguments::Arguments;
 pub use run::{measure, run, Failure};
--- a/rig/src/scale/requirement.rs
+++ b/rig/src/scale/requirement.rs
@@ -63,6 +63,7 @@
 const LIST: &str = "each node reads each line, `platform::follow`";
 const DECISION: &str = "decision module, `dewlever::Policy`";
 const RATES: &str = "rates to 16 siblings a second, `Machine::tell`";
+const VOTES: &str = "5 voters for all regions, `duties::Voter`";
 const TREE: &str = "tree of a zone's nodes, `duties::Spread`";
 const WATCHES: &str = "a watch of each node, without `lists`";
 
@@ -84,7 +85,7 @@
 
 /// All rows.
 pub fn requirements() -> Vec<Requirement> {
-    [member(), dispatcher(), lists()].concat()
+    [member(), dispatcher(), lists(), voters()].concat()
 }
 
 fn member() -> Vec<Requirement> {
@@ -145,3 +146,17 @@
         row(Axis::Workers, Role::Discovery, LiveWeights, Quantity::BytesOut, Budget::None, WATCHES),
     ]
 }
+
+fn voters() -> Vec<Requirement> {
+    use Condition::{Calm, Crashes};
+    let voter =
+        |condition, quantity, budget| row(Axis::Zones, Role::Voter, condition, quantity, budget, VOTES);
+    vec![
+        voter(Calm, Quantity::StateBytes, Budget::Memory),
+        voter(Calm, Quantity::ProcessorShare, Budget::Processor),
+        voter(Calm, Quantity::BytesOut, Budget::Traffic),
+        voter(Calm, Quantity::BytesIn, Budget::Traffic),
+        voter(Crashes, Quantity::BytesOut, Budget::Traffic),
+        voter(Crashes, Quantity::InForceMs, Budget::None),
+    ]
+}
--- a/rig/src/scale/result.rs
+++ b/rig/src/scale/result.rs
@@ -37,6 +37,8 @@
     RateTeller,
     /// Takes the worker list from another node of its zone, or passes it on.
     ListRelay,
+    /// Votes on duties, one for each zone.
+    Voter,
     /// The service that has the worker list.
     Discovery,
 }
--- a/rig/src/scale/run.rs
+++ b/rig/src/scale/run.rs
@@ -6,7 +6,7 @@
 use super::plan::{BadPlan, Plan, AXES};
 use super::result::{Axis, Measurement, Recorder, Run, FORMAT};
 use super::store::{self, StoreError};
-use super::{broadcast, chart, dispatcher, membership, page};
+use super::{broadcast, chart, dispatcher, membership, page, voting};
 use crate::allocation::{CountingAllocator, Memory};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::{Path, PathBuf};
@@ -61,10 +61,7 @@
         AXES.into_iter().filter(wanted).filter(|axis| !plan.sizes(*axis).is_empty()).collect();
     let progress = progress_bar(axes.iter().map(|axis| plan.sizes(*axis).len()).sum());
     for axis in axes {
-        let started = Instant::now();
-        let measurements = measure(&plan, axis, memory, &progress);
-        let run = describe(&plan, axis, &arguments.plan, measurements, started.elapsed());
-        store::keep(&arguments.results, axis, &run)?;
+        measure_axis(&plan, axis, arguments, memory, &progress)?;
     }
     progress.finish_and_clear();
     let runs = store::read_all(&arguments.results)?;
@@ -87,23 +84,37 @@
     progress
 }
 
-/// Measures an axis of a plan at each of its sizes.
-pub fn measure(plan: &Plan, axis: Axis, memory: Memory, progress: &ProgressBar) -> Vec<Measurement> {
+/// Measures an axis at each of its sizes, and keeps the results after each, so that a run that is ended early has some.
+fn measure_axis(
+    plan: &Plan,
+    axis: Axis,
+    arguments: &Arguments,
+    memory: Memory,
+    progress: &ProgressBar,
+) -> Result<(), Failure> {
+    let started = Instant::now();
     let mut measurements = Vec::new();
     for size in plan.sizes(axis) {
         progress.set_message(format!("{axis:?} {size}"));
-        measurements.extend(measure_size(plan, axis, *size, memory));
+        measurements.extend(measure(plan, axis, *size, memory));
+        let run = describe(plan, axis, &arguments.plan, measurements.clone(), started.elapsed());
+        store::keep(&arguments.results, axis, &run)?;
         progress.inc(1);
     }
-    measurements
+    Ok(())
 }
 
-fn measure_size(plan: &Plan, axis: Axis, size: u64, memory: Memory) -> Vec<Measurement> {
+/// Measures one size of an axis.
+pub fn measure(plan: &Plan, axis: Axis, size: u64, memory: Memory) -> Vec<Measurement> {
     let mut recorder = Recorder::new(axis, size);
     let limits = Limits::start(memory, plan.memory_mb(), plan.time_limit());
     match axis {
         Axis::Nodes => membership::measure(&member_spec(plan, size), &limits, &mut recorder),
-        Axis::Zones => broadcast::measure(&zone_spec(plan, axis, size), &limits, &mut recorder),
+        Axis::Zones => {
+            broadcast::measure(&zone_spec(plan, axis, size), &limits, &mut recorder);
+            let zones = size as usize;
+            voting::measure(&voting::Spec { zones, seed: plan.seed }, &limits, &mut recorder);
+        }
         Axis::Tenants | Axis::Starts => {
             dispatcher::measure(&load(plan, axis, size), &limits, &mut recorder);
         }
--- a/rig/src/scale/table.rs
+++ b/rig/src/scale/table.rs
@@ -13,6 +13,7 @@
         Role::Dispatcher => "dispatching node",
         Role::RateTeller => "teller of rates",
         Role::ListRelay => "list holder and relay",
+        Role::Voter => "voter, a duty for each zone",
         Role::Discovery => "discovery",
     }
 }
--- a/rig/tests/scale.rs
+++ b/rig/tests/scale.rs
@@ -1,7 +1,6 @@
 //! Scale runs: the plan's checks, the fit, the page against its results, and a small fixed run whose counts stay within
 //! bounds. Times are not judged.
 
-use indicatif::ProgressBar;
 use rig::allocation::{counting, CountingAllocator, Memory};
 use rig::scale::fit::{Fit, Law, Point};
 use rig::scale::limits::Limits;
@@ -35,7 +34,8 @@
 }
 
 fn measured_by(plan: &Plan, axis: Axis) -> Vec<Measurement> {
-    rig::scale::measure(plan, axis, Memory::new(&ALLOCATOR), &ProgressBar::hidden())
+    let measure = |size: &u64| rig::scale::measure(plan, axis, *size, Memory::new(&ALLOCATOR));
+    plan.sizes(axis).iter().flat_map(measure).collect()
 }
 
 /// The worst process' figure at each size, in the order of the sizes.
@@ -69,6 +69,8 @@
     pub const RATES_BYTES: [f64; 3] = [1_390.0, 2_860.0, 16_240.0];
     pub const RELAY_STATE: [f64; 3] = [250_100.0, 250_400.0, 248_800.0];
     pub const RELAY_MESSAGES: [f64; 3] = [335.0, 189.0, 84.0];
+    pub const VOTER_STATE: [f64; 3] = [17_540.0, 19_930.0, 25_970.0];
+    pub const VOTER_MESSAGES: [f64; 3] = [34.1, 41.8, 57.2];
     pub const RELAY_BYTES: [f64; 3] = [193_500.0, 108_900.0, 48_400.0];
 }
 
@@ -104,7 +106,7 @@
 }
 
 #[test]
-fn a_zone_that_passes_its_list_on_stays_within_its_bounds() {
+fn zones_that_pass_lists_on_and_their_voters_stay_within_their_bounds() {
     let _alone = alone();
     let found = measured(Axis::Zones);
     let relay = |quantity| worst(&found, Role::ListRelay, Condition::LiveWeights, quantity);
@@ -112,6 +114,9 @@
     within("messages", &relay(Quantity::MessagesOut), bounds::RELAY_MESSAGES);
     within("bytes", &relay(Quantity::BytesOut), bounds::RELAY_BYTES);
     within("in force", &relay(Quantity::InForceMs), bounds::IN_FORCE_MS);
+    let voter = |quantity| worst(&found, Role::Voter, Condition::Calm, quantity);
+    within("state of a voter", &voter(Quantity::StateBytes), bounds::VOTER_STATE);
+    within("messages of a voter", &voter(Quantity::MessagesOut), bounds::VOTER_MESSAGES);
 }
 
 /// All counts of some measurements, without processor time and allocated bytes.
