Capacity page: each role at the planned size against its budget, from kept results

Bytes in and out have a budget each; discovery has a row for one that is asked by one node of each zone.

--- a/rig/src/scale/broadcast.rs
+++ b/rig/src/scale/broadcast.rs
@@ -46,6 +46,15 @@
         Ok(figures) => recorder.measured(Role::ListRelay, Condition::LiveWeights, figures),
         Err(reason) => recorder.not_run(Role::ListRelay, Condition::LiveWeights, &reason),
     }
+    recorder.measured(Role::SharedDiscovery, Condition::LiveWeights, discovery(spec));
+}
+
+/// What discovery sends where one node of each zone asks it.
+fn discovery(spec: &Spec) -> Figures {
+    let mut rng = SmallRng::seed_from_u64(spec.seed);
+    let list = ListBody::drawn(1, spec.workers, spec.zones, &mut rng).to_json().len();
+    let rate = (list * spec.zones) as f64 / PERIOD.as_secs_f64();
+    Figures::from([(Quantity::BytesOut, Value::single(rate))])
 }
 
 enum Event {
--- a/rig/src/scale/dispatcher.rs
+++ b/rig/src/scale/dispatcher.rs
@@ -87,6 +87,9 @@
     let tellers = [
         over(Quantity::MessagesOut, &|r| r.tells as f64 / seconds),
         over(Quantity::BytesOut, &|r| r.tells as f64 * per_message / seconds),
+        // All nodes tell as many: as much comes in.
+        over(Quantity::MessagesIn, &|r| r.tells as f64 / seconds),
+        over(Quantity::BytesIn, &|r| r.tells as f64 * per_message / seconds),
     ];
     recorder.measured(Role::RateTeller, Condition::Calm, tellers.into_iter().flatten().collect());
     let to_all = over(Quantity::BytesOut, &|r| r.list_bytes as f64 / seconds * load.nodes as f64);
--- a/rig/src/scale/estimate.rs
+++ b/rig/src/scale/estimate.rs
@@ -48,7 +48,8 @@
         match self.fit {
             Some(Fit { law: Law::Power, slope, .. }) => format!("size^{slope:.2}"),
             Some(Fit { law: Law::Linear, intercept, slope, .. }) => {
-                format!("{} + {} × size", number(intercept), number(slope))
+                let sign = if slope < 0.0 { "−" } else { "+" };
+                format!("{} {sign} {} × size", number(intercept), number(slope.abs()))
             }
             None => "none".to_string(),
         }
--- a/rig/src/scale/page.rs
+++ b/rig/src/scale/page.rs
@@ -3,7 +3,9 @@
 use super::estimate::{estimates, Row};
 use super::requirement::{requirements, Budget, Requirement};
 use super::result::{Outcome, Run};
-use super::table::{axis_name, budget_name, condition_name, figure, number, quantity_name, role_name, size};
+use super::table::{
+    axis_name, budget_name, budget_value, condition_name, figure, number, quantity_name, role_name, size,
+};
 use std::fmt::Write as _;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -151,12 +153,14 @@
 
 fn node_sum(rows: &[Row]) -> String {
     let mut text = String::from("| budget | sum of the worst | bound | times |\n| --- | --- | --- | --- |\n");
-    for budget in [Budget::Processor, Budget::Memory, Budget::Traffic] {
+    let budgets = [Budget::Processor, Budget::Memory, Budget::TrafficOut, Budget::TrafficIn];
+    for budget in budgets {
         let parts = rows.iter().filter(|row| row.requirement.in_node_sum && row.requirement.budget == budget);
         let sum: f64 = parts.filter_map(|row| row.estimate).map(|estimate| estimate.value).sum();
         let bound = budget.bound().unwrap_or(f64::INFINITY);
-        let (sum_text, bound_text) = (budget_name(budget, sum), budget_name(budget, bound));
-        let _ = writeln!(text, "| {budget:?} | {sum_text} | {bound_text} | {} |", number(sum / bound));
+        let (sum_text, bound_text) = (budget_value(budget, sum), budget_value(budget, bound));
+        let name = budget_name(budget);
+        let _ = writeln!(text, "| {name} | {sum_text} | {bound_text} | {} |", number(sum / bound));
     }
     text
 }
--- a/rig/src/scale/requirement.rs
+++ b/rig/src/scale/requirement.rs
@@ -9,8 +9,10 @@
     Processor,
     /// A node's memory for control.
     Memory,
-    /// A node's bytes a second for control, in one direction.
-    Traffic,
+    /// Bytes a second that a node sends for control.
+    TrafficOut,
+    /// Bytes a second that a node receives for control.
+    TrafficIn,
     /// Until a change is in force everywhere.
     InForce,
     /// The operators gave no bound.
@@ -23,7 +25,7 @@
         match self {
             Budget::Processor => Some(0.042),
             Budget::Memory => Some(32e6),
-            Budget::Traffic => Some(24e3),
+            Budget::TrafficOut | Budget::TrafficIn => Some(24e3),
             Budget::InForce => Some(7000.0),
             Budget::None => None,
         }
@@ -62,9 +64,10 @@
 const VIEW: &str = "membership, `fleet::Machine`";
 const LIST: &str = "each node reads each line, `platform::follow`";
 const DECISION: &str = "decision module, `dewlever::Policy`";
-const RATES: &str = "rates to 16 siblings a second, `Machine::tell`";
+const RATES: &str = "rates of 90 tenants at most to 16 siblings a second, `Machine::tell`";
 const VOTES: &str = "5 voters for all regions, `duties::Voter`";
 const TREE: &str = "tree of a zone's nodes, `duties::Spread`";
+const SHARED: &str = "a watch of one node of each zone, `lists = true`";
 const WATCHES: &str = "a watch of each node, without `lists`";
 
 const fn row(
@@ -95,17 +98,17 @@
     vec![
         part(member(Calm, Quantity::StateBytes, Budget::Memory)),
         part(member(Calm, Quantity::ProcessorShare, Budget::Processor)),
-        part(member(Calm, Quantity::BytesOut, Budget::Traffic)),
-        part(member(Calm, Quantity::BytesIn, Budget::Traffic)),
-        member(PhaseChange, Quantity::BytesOut, Budget::Traffic),
+        part(member(Calm, Quantity::BytesOut, Budget::TrafficOut)),
+        part(member(Calm, Quantity::BytesIn, Budget::TrafficIn)),
+        member(PhaseChange, Quantity::BytesOut, Budget::TrafficOut),
         member(PhaseChange, Quantity::InForceMs, Budget::InForce),
-        member(Crashes, Quantity::BytesOut, Budget::Traffic),
+        member(Crashes, Quantity::BytesOut, Budget::TrafficOut),
         member(Crashes, Quantity::InForceMs, Budget::InForce),
-        member(ZoneLost, Quantity::BytesOut, Budget::Traffic),
+        member(ZoneLost, Quantity::BytesOut, Budget::TrafficOut),
         member(ZoneLost, Quantity::InForceMs, Budget::InForce),
-        member(ZoneReturns, Quantity::BytesOut, Budget::Traffic),
+        member(ZoneReturns, Quantity::BytesOut, Budget::TrafficOut),
         member(ZoneReturns, Quantity::InForceMs, Budget::InForce),
-        member(ZoneReturns, Quantity::ExchangeBytesIn, Budget::Traffic),
+        member(ZoneReturns, Quantity::ExchangeBytesIn, Budget::TrafficIn),
         member(ZoneLost, Quantity::ProcessorShare, Budget::Processor),
         member(ZoneReturns, Quantity::ProcessorShare, Budget::Processor),
     ]
@@ -115,7 +118,7 @@
     use Condition::LiveWeights;
     let on = |axis, quantity, budget| row(axis, Role::Dispatcher, LiveWeights, quantity, budget, DECISION);
     let rates =
-        row(Axis::Tenants, Role::RateTeller, Condition::Calm, Quantity::BytesOut, Budget::Traffic, RATES);
+        |quantity, budget| row(Axis::Tenants, Role::RateTeller, Condition::Calm, quantity, budget, RATES);
     vec![
         on(Axis::Workers, Quantity::StateBytes, Budget::Memory),
         on(Axis::Workers, Quantity::ProcessorShare, Budget::Processor),
@@ -125,7 +128,8 @@
         on(Axis::Starts, Quantity::ProcessorShare, Budget::Processor),
         part(on(Axis::Together, Quantity::StateBytes, Budget::Memory)),
         part(on(Axis::Together, Quantity::ProcessorShare, Budget::Processor)),
-        part(rates),
+        part(rates(Quantity::BytesOut, Budget::TrafficOut)),
+        part(rates(Quantity::BytesIn, Budget::TrafficIn)),
     ]
 }
 
@@ -134,16 +138,17 @@
     let node = |quantity, budget| row(Axis::Workers, Role::Dispatcher, LiveWeights, quantity, budget, LIST);
     let relay = |axis, quantity, budget| row(axis, Role::ListRelay, LiveWeights, quantity, budget, TREE);
     vec![
-        part(node(Quantity::ListBytes, Budget::Traffic)),
+        part(node(Quantity::ListBytes, Budget::TrafficIn)),
         part(node(Quantity::ListStateBytes, Budget::Memory)),
-        relay(Axis::Zones, Quantity::BytesOut, Budget::Traffic),
+        relay(Axis::Zones, Quantity::BytesOut, Budget::TrafficOut),
         relay(Axis::Zones, Quantity::InForceMs, Budget::InForce),
-        relay(Axis::Together, Quantity::BytesOut, Budget::Traffic),
-        relay(Axis::Together, Quantity::BytesIn, Budget::Traffic),
+        relay(Axis::Together, Quantity::BytesOut, Budget::TrafficOut),
+        relay(Axis::Together, Quantity::BytesIn, Budget::TrafficIn),
         relay(Axis::Together, Quantity::ProcessorShare, Budget::Processor),
         relay(Axis::Together, Quantity::InForceMs, Budget::InForce),
         relay(Axis::Together, Quantity::StateBytes, Budget::Memory),
         row(Axis::Workers, Role::Discovery, LiveWeights, Quantity::BytesOut, Budget::None, WATCHES),
+        row(Axis::Together, Role::SharedDiscovery, LiveWeights, Quantity::BytesOut, Budget::None, SHARED),
     ]
 }
 
@@ -154,9 +159,9 @@
     vec![
         voter(Calm, Quantity::StateBytes, Budget::Memory),
         voter(Calm, Quantity::ProcessorShare, Budget::Processor),
-        voter(Calm, Quantity::BytesOut, Budget::Traffic),
-        voter(Calm, Quantity::BytesIn, Budget::Traffic),
-        voter(Crashes, Quantity::BytesOut, Budget::Traffic),
+        voter(Calm, Quantity::BytesOut, Budget::TrafficOut),
+        voter(Calm, Quantity::BytesIn, Budget::TrafficIn),
+        voter(Crashes, Quantity::BytesOut, Budget::TrafficOut),
         voter(Crashes, Quantity::InForceMs, Budget::None),
     ]
 }
--- a/rig/src/scale/result.rs
+++ b/rig/src/scale/result.rs
@@ -39,8 +39,10 @@
     ListRelay,
     /// Votes on duties, one for each zone.
     Voter,
-    /// The service that has the worker list.
+    /// The service that has the worker list, where all nodes ask it.
     Discovery,
+    /// The same, where one node of each zone asks it.
+    SharedDiscovery,
 }
 
 /// What happens while it is measured.
--- a/rig/src/scale/table.rs
+++ b/rig/src/scale/table.rs
@@ -14,7 +14,8 @@
         Role::RateTeller => "teller of rates",
         Role::ListRelay => "list holder and relay",
         Role::Voter => "voter, a duty for each zone",
-        Role::Discovery => "discovery",
+        Role::Discovery => "discovery, asked by all nodes",
+        Role::SharedDiscovery => "discovery, asked by one node of each zone",
     }
 }
 
@@ -66,12 +67,24 @@
     }
 }
 
+/// What a budget is of.
+pub fn budget_name(budget: Budget) -> &'static str {
+    match budget {
+        Budget::Processor => "processor time",
+        Budget::Memory => "memory",
+        Budget::TrafficOut => "bytes out",
+        Budget::TrafficIn => "bytes in",
+        Budget::InForce => "until in force",
+        Budget::None => "no bound",
+    }
+}
+
 /// A sum that is held against a budget, with its unit.
-pub fn budget_name(budget: Budget, value: f64) -> String {
+pub fn budget_value(budget: Budget, value: f64) -> String {
     match budget {
         Budget::Processor => format!("{}% of a core", number(value * 100.0)),
         Budget::Memory => bytes(value),
-        Budget::Traffic => format!("{}/s", bytes(value)),
+        Budget::TrafficOut | Budget::TrafficIn => format!("{}/s", bytes(value)),
         Budget::InForce => format!("{} s", number(value / 1e3)),
         Budget::None => number(value),
     }
--- a/rig/tests/scale.rs
+++ b/rig/tests/scale.rs
@@ -60,6 +60,7 @@
     pub const MEMBER_CALM_MESSAGES: [f64; 3] = [2.7, 3.3, 5.5];
     pub const MEMBER_CALM_BYTES: [f64; 3] = [341.0, 436.0, 644.0];
     pub const MEMBER_STATE: [f64; 3] = [32_710.0, 59_640.0, 97_380.0];
+    pub const MEMBER_CHANGE_MESSAGES: [f64; 3] = [4.6, 5.2, 8.3];
     pub const MEMBER_ZONE_LOST_BYTES: [f64; 3] = [2_721.0, 3_868.0, 6_000.0];
     pub const IN_FORCE_MS: [f64; 3] = [7_000.0; 3];
     pub const DISPATCHER_STATE: [f64; 3] = [23_610.0, 32_970.0, 52_390.0];
@@ -83,6 +84,8 @@
     within("bytes", &member(Condition::Calm, Quantity::BytesOut), bounds::MEMBER_CALM_BYTES);
     within("state", &member(Condition::Calm, Quantity::StateBytes), bounds::MEMBER_STATE);
     within("zone lost", &member(Condition::ZoneLost, Quantity::BytesOut), bounds::MEMBER_ZONE_LOST_BYTES);
+    let news = member(Condition::PhaseChange, Quantity::MessagesOut);
+    within("messages of one change", &news, bounds::MEMBER_CHANGE_MESSAGES);
     within("phase", &member(Condition::PhaseChange, Quantity::InForceMs), bounds::IN_FORCE_MS);
 }
 
@@ -268,3 +271,12 @@
     assert!(matches!(page::check(&path, &kept(1000.0)), Err(PageError::NoMarkers { .. })));
     std::fs::remove_file(&path).expect("it is there");
 }
+
+/// The page of this version is what its kept results give.
+#[test]
+fn the_capacity_page_agrees_with_the_kept_results() {
+    let docs = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs");
+    let runs = rig::scale::store::read_all(&docs.join("capacity")).expect("the kept results can be read");
+    page::check(&docs.join("CAPACITY.md"), &runs)
+        .expect("`rig scale --page docs/CAPACITY.md` writes it anew");
+}
