--- a/rig/src/scale/run.rs
+++ b/rig/src/scale/run.rs
@@ -92,12 +92,17 @@
     memory: Memory,
     progress: &ProgressBar,
 ) -> Result<(), Failure> {
-    let started = Instant::now();
+    let (started, commit) = (Instant::now(), commit());
     let mut measurements = Vec::new();
     for size in plan.sizes(axis) {
         progress.set_message(format!("{axis:?} {size}"));
         measurements.extend(measure(plan, axis, *size, memory));
-        let run = describe(plan, axis, &arguments.plan, measurements.clone(), started.elapsed());
+        let run = Run {
+            took_s: started.elapsed().as_secs(),
+            commit: commit.clone(),
+            measurements: measurements.clone(),
+            ..describe(plan, axis, &arguments.plan)
+        };
         store::keep(&arguments.results, axis, &run)?;
         progress.inc(1);
     }
@@ -176,24 +181,30 @@
     }
 }
 
-fn describe(plan: &Plan, axis: Axis, path: &Path, measurements: Vec<Measurement>, took: Duration) -> Run {
+/// A run without measurements yet.
+fn describe(plan: &Plan, axis: Axis, path: &Path) -> Run {
     let axis_name = format!("{axis:?}").to_lowercase();
     Run {
         format: FORMAT,
         command: format!("rig scale {} --axis {axis_name}", path.display()),
         seed: plan.seed,
         date: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
-        commit: commit(),
+        commit: String::new(),
         version: env!("CARGO_PKG_VERSION").to_string(),
         processors: std::thread::available_parallelism().map_or(1, usize::from),
-        took_s: took.as_secs(),
-        measurements,
+        took_s: 0,
+        measurements: Vec::new(),
     }
 }
 
-/// The commit of the working folder, with `+` where files differ from it; `unknown` outside of a repository.
+/// The commit of the working folder, with `+` where files other than documents differ from it; `unknown` outside of a
+/// repository.
 fn commit() -> String {
-    let output = Command::new("git").args(["describe", "--always", "--dirty=+", "--abbrev=7"]).output();
-    let text = output.ok().filter(|o| o.status.success()).and_then(|o| String::from_utf8(o.stdout).ok());
-    text.map_or("unknown".to_string(), |text| text.trim().to_string())
+    let git = |arguments: &[&str]| Command::new("git").args(arguments).output().ok();
+    let head = git(&["rev-parse", "--short=7", "HEAD"]).filter(|output| output.status.success());
+    let Some(head) = head.and_then(|output| String::from_utf8(output.stdout).ok()) else {
+        return "unknown".to_string();
+    };
+    let same = git(&["diff", "--quiet", "HEAD", "--", ".", ":!docs"]).is_some_and(|o| o.status.success());
+    format!("{}{}", head.trim(), if same { "" } else { "+" })
 }
