--- a/rig/src/scale/arguments.rs
+++ b/rig/src/scale/arguments.rs
@@ -15,7 +15,7 @@
     /// Where results are kept: a JSON file for each axis, and one chart of all.
     #[arg(long, default_value = "docs/capacity")]
     pub results: PathBuf,
-    /// Measures nothing, and writes the generated part of this page from the kept results.
+    /// Measures nothing, and writes the generated part of this page, and the chart, from the kept results.
     #[arg(long, conflicts_with_all = ["check", "axis"])]
     pub page: Option<PathBuf>,
     /// Measures nothing, and fails where the generated part of this page differs from the kept results.
--- a/rig/src/scale/chart.rs
+++ b/rig/src/scale/chart.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-const COLUMNS: usize = 4;
-const CHART_WIDTH: u32 = 330;
+const COLUMNS: usize = 3;
+const CHART_WIDTH: u32 = 440;
 const CHART_HEIGHT: u32 = 240;
 const TITLE_HEIGHT: i32 = 11;
 const LABEL_HEIGHT: i32 = 11;
--- a/rig/src/scale/dispatcher.rs
+++ b/rig/src/scale/dispatcher.rs
@@ -9,7 +9,7 @@
 use crate::allocation::Memory;
 use dewlever::api::{
     Action, ClassSettings, Ending, Event, Outcome, Request, RequestId, Rules, Semantics, Settings,
-    TenantSettings, Time, WorkerId,
+    TenantSettings, Time,
 };
 use dewlever::Policy;
 use rand::rngs::SmallRng;
@@ -265,7 +265,7 @@
     fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { id, worker } => self.send(id, worker),
+                Action::Send { id, .. } => self.send(id),
                 Action::Refuse { id, .. } | Action::Fail { id } => {
                     self.attempts.remove(&id);
                 }
@@ -277,7 +277,7 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, _worker: WorkerId) {
+    fn send(&mut self, id: RequestId) {
         self.report.sends += 1;
         let attempt = self.attempts.get(&id).map_or(0, |last| last + 1);
         self.attempts.insert(id, attempt);
--- a/rig/src/scale/run.rs
+++ b/rig/src/scale/run.rs
@@ -13,6 +13,9 @@
 use std::process::Command;
 use std::time::{Duration, Instant, SystemTime};
 
+/// The chart's file in the folder of results.
+const CHART: &str = "scale.svg";
+
 /// Why `rig scale` failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
@@ -46,7 +49,9 @@
 /// Does what the command line asks for.
 pub fn run(arguments: &Arguments, allocator: &'static CountingAllocator) -> Result<(), Failure> {
     if let Some(path) = &arguments.page {
-        return Ok(page::write(path, &store::read_all(&arguments.results)?)?);
+        let runs = store::read_all(&arguments.results)?;
+        chart::draw(&arguments.results.join(CHART), &runs)?;
+        return Ok(page::write(path, &runs)?);
     }
     if let Some(path) = &arguments.check {
         return Ok(page::check(path, &store::read_all(&arguments.results)?)?);
@@ -65,7 +70,7 @@
     }
     progress.finish_and_clear();
     let runs = store::read_all(&arguments.results)?;
-    chart::draw(&arguments.results.join("scale.svg"), &runs)?;
+    chart::draw(&arguments.results.join(CHART), &runs)?;
     Ok(())
 }
 
