--- a/node/tests/terms.rs
+++ b/node/tests/terms.rs
@@ -479,7 +479,8 @@
             timing: fleet::Timing::default(),
         };
         let address = config.advertise;
-        let birth = fleet::Birth { boot: n as u64 + 1, unix_ms: 1_700_000_000_000, seed: n as u64 + 1 };
+        let birth =
+            fleet::ProcessStart { boot: n as u64 + 1, unix_ms: 1_700_000_000_000, seed: n as u64 + 1 };
         (fleet::Machine::new(config, birth, now), address)
     };
     let (mut one, at) = start(0);
@@ -487,14 +488,14 @@
     for n in 1..MANY {
         let (mut other, _) = start(n);
         let challenge = one.challenge();
-        let (asked, state) = other.ask_state(now, at, challenge);
-        answer = one.answer_state(now, challenge, &state).map(|state| (other, asked, state));
+        let (asked, state) = other.request_sync(now, at, challenge);
+        answer = one.answer_sync(now, challenge, &state).map(|state| (other, asked, state));
         while one.action().is_some() {} // news to the others, whom nobody plays here
     }
-    let stand = one.stand(now, 1);
-    assert_eq!((stand.siblings as usize, stand.names.len(), one.peers().len()), (MANY, MANY, MANY));
+    let size = one.fleet_size(now, 1);
+    assert_eq!((size.siblings as usize, size.names.len(), one.peers().len()), (MANY, MANY, MANY));
     let (mut last, asked, state) = answer.expect("an answer to the last");
     assert!(state.len() <= fleet::FRAME_MAX, "{} bytes", state.len());
-    assert!(last.take_state(now, asked, &state), "it counts");
-    assert_eq!(last.stand(now, 1).names.len(), MANY, "the last one is told of all others");
+    assert!(last.finish_sync(now, asked, &state), "it counts");
+    assert_eq!(last.fleet_size(now, 1).names.len(), MANY, "the last one is told of all others");
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod allocation;
 pub mod check;
 pub mod cluster;
 pub mod demo;
@@ -19,5 +20,6 @@
 pub mod process;
 pub mod relay;
 pub mod resource;
+pub mod scale;
 pub mod wire;
 pub mod worker;
