--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,7 @@
 const CROWD_PAUSE: f64 = 5.0; // doublings of the pause after 'full' where it never has room
 const ALL: usize = 32; // workers up to which all are looked at for a job; beyond, a seeded sample ...
 const SAMPLE: usize = 8; // ... of this many of our zone and a third of that from others
+const SLOT_LOAD: f64 = 0.25; // load of a cold worker that we may send to now, over what it would be
 const SCALE_KEPT: f64 = 0.995; // part of the largest fleet seen that still counts after a second
 const PRICE_LOAD: f64 = 25.0; // price to load: 0.04 of a job's worth is a whole worker's load
 const LOT_PRICE: f64 = 3.0; // a lot for a worker that costs 0.04 counts as one of 20
@@ -486,7 +487,8 @@
             let cores = self.weights.cores(w.kind as usize) * warmth;
             let worse = |i: usize| self.classes[i].kept + KEPT_GAIN < self.classes[job.class].kept;
             let yields = self.set.worst_class_weight > 0.0 && self.offered().any(worse);
-            return Some((1.0 + w.there / cores) / w.scale).filter(|_| !yields || w.there + 0.5 <= cores);
+            let size = if warmth < 1.0 { w.scale / SLOT_LOAD } else { w.scale }; // the slot is ours alone
+            return Some((1.0 + w.there / cores) / size).filter(|_| !yields || w.there + 0.5 <= cores);
         }
         let load = then / w.cap.max(CAP_MIN);
         if !self.estimates() { return Some(load).filter(|&load| load <= 1.0 || w.held < 0.5); }
@@ -523,13 +525,12 @@
     }
 
     fn send(&mut self, key: Rank, w: usize, out: &mut Vec<Action>) {
-        let cold_sends = self.workers[w].cold_sends.record(&self.set.rules, self.workers[w].since, self.now);
         self.waiting.remove(&key);
         let (now, seldom) = (self.now, self.seldom());
         let Some(job) = self.jobs.get_mut(&key.2) else { return };
         let worker = &mut self.workers[w];
         let doubts = worker.silent || worker.doubt > 0;
-        worker.cold_sends = cold_sends;
+        worker.cold_sends = worker.cold_sends.record(&self.set.rules, worker.since, now);
         (worker.held, worker.free, worker.used_at) = (worker.held + job.need, worker.free - job.need, now);
         worker.there += job.need; // the next list counts it
         self.window.sent(job.need);
@@ -866,7 +867,7 @@
         let left = job.sent < job.most && outcome != Outcome::Moot && self.now < job.deadline;
         let once = job.may_run.is_some() && self.set.classes[job.class].semantics == Semantics::Unsafe;
         // Who was turned away unseen can be refused to come back as a new request: lost work goes first.
-        let part = if job.may_run.is_none() { 0.5 } else { 1.0 };
+        let part = if job.may_run.is_none() { 0.25 } else { 1.0 };
         if !left || once || self.barred(&job) || !self.may_try_again(part) { return self.give_up(id, out); }
         if self.now >= job.due && !self.may_be_late(id) { return self.give_up(id, out); }
         self.agenda.add(job.due, Due::Job { id });
@@ -945,9 +946,8 @@
                 Availability::Gone => w.unlist(soft, now),
             }
             w.scale = if e.scale.is_finite() && e.scale > 0.0 { e.scale } else { 1.0 };
-            if !self.set.live_weights { continue; }
-            let (there, size) = self.weights.learn(e.kind as usize, w.scale);
-            (w.scale, w.there) = (size, if shared { there } else { 0.0 });
+            let seen = self.set.live_weights.then(|| self.weights.learn(e.kind as usize, w.scale));
+            if let Some((all, size)) = seen { (w.scale, w.there) = (size, if shared { all } else { 0.0 }); }
         }
         (self.near, self.far, self.scale) = Default::default();
         for (i, w) in self.workers.iter().enumerate().filter(|(_, w)| w.ready) {
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -29,7 +29,7 @@
 /// ... and what more of it is used once it is warm: the sums of many jobs vary less.
 const BUDGET_WARM: f64 = 0.25;
 /// The largest job, as a part of what makes the worker fall within the span: a few that come together stay below.
-const LARGEST_JOB: f64 = 0.2;
+const LARGEST_JOB: f64 = 0.25;
 /// Steps of a sequence that fills an interval evenly (the golden ratio, and the square root of 2).
 const OWNER_STEP: f64 = 0.618_033_988_749_894_9;
 const PHASE_STEP: f64 = 0.414_213_562_373_095_1;
