Give turned-away jobs their half of the ration of further attempts back

No test told. Where settings state a ration, jobs turned away could use a quarter of it in place of half.

Now one half again, as before. The new test has 4 and 8 further attempts of a ration of 8 for jobs turned away and lost; with 0.25 it fails with 2 and 8.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -867,7 +867,7 @@
         let left = job.sent < job.most && outcome != Outcome::Moot && self.now < job.deadline;
         let once = job.may_run.is_some() && self.set.classes[job.class].semantics == Semantics::Unsafe;
         // Who was turned away unseen can be refused to come back as a new request: lost work goes first.
-        let part = if job.may_run.is_none() { 0.25 } else { 1.0 };
+        let part = if job.may_run.is_none() { 0.5 } else { 1.0 };
         if !left || once || self.barred(&job) || !self.may_try_again(part) { return self.give_up(id, out); }
         if self.now >= job.due && !self.may_be_late(id) { return self.give_up(id, out); }
         self.agenda.add(job.due, Due::Job { id });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1052,3 +1052,26 @@
     let far = (1..=400).filter_map(|id| d.serve(id, 0)).filter(|w| w.0 > 10).count();
     assert!((20..140).contains(&far), "{far} of 400 cross zones");
 }
+
+/// Guards lost work: jobs that were turned away unseen use at most half of the ration of further attempts.
+#[test]
+fn jobs_turned_away_leave_half_of_the_ration_to_jobs_that_were_lost() {
+    let further = |outcome: Outcome| {
+        let mut set = settings(vec![class(Semantics::Safe)]);
+        set.rules.allowance = Some(Allowance { spare: 8.0, ratio: 0.0, span_us: 1000 * S });
+        let mut desk = Desk::new(set, many(30, |_| 0));
+        let mut attempts = 0;
+        for id in 0..30 {
+            if sent(&desk.accept(id, 0), id).is_none() {
+                continue;
+            }
+            desk.tell(Event::Started { id, attempt: 0 });
+            let again = [desk.ended(id, 0, outcome), desk.pass(25 * MS)].concat();
+            attempts += u32::from(sent(&again, id).is_some());
+            desk.tell(Event::Started { id, attempt: 1 });
+            desk.ended(id, 1, Outcome::Ok);
+        }
+        attempts
+    };
+    assert_eq!((further(Outcome::Full), further(Outcome::Cancelled)), (4, 8));
+}
