--- a/rig/src/cluster.rs
+++ b/rig/src/cluster.rs
@@ -400,6 +400,26 @@
     }
 }
 
+/// Loopback addresses that no other cluster uses.
+#[derive(Clone, Copy, Debug)]
+pub struct Block([u8; 2]);
+
+impl Block {
+    /// The address of a host of the block, from 0 on.
+    pub fn address(self, host: usize, port: u16) -> SocketAddr {
+        address(self.0, host, port)
+    }
+}
+
+/// A block of addresses, looked for from this number on, and what holds it.
+///
+/// # Errors
+/// Where none is free.
+pub fn free_block(first: u32) -> io::Result<(Block, TcpListener)> {
+    let (block, lock) = block(first)?;
+    Ok((Block(block), lock))
+}
+
 pub(crate) fn address(block: [u8; 2], host: usize, port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(127, block[0], block[1], host as u8 + 1), port))
 }
--- a/rig/src/soak/client.rs
+++ b/rig/src/soak/client.rs
@@ -63,9 +63,15 @@
     /// It writes in pieces.
     Slow,
     /// It leaves this long after its request; with a reset, or with bytes behind its request.
-    Leaves { after: Duration, reset: bool, trailing: bool },
+    Leaves {
+        after: Duration,
+        reset: bool,
+        trailing: bool,
+    },
     /// It stops in the middle of its request and stays.
-    Stops { in_head: bool },
+    Stops {
+        in_head: bool,
+    },
     /// It waits this long only.
     Hasty(Duration),
 }
@@ -124,7 +130,8 @@
         };
         let key = (class.name == "lodge").then(|| format!("key-{id}"));
         let us = work.as_micros() as u64;
-        let text = job(class.name, &id, "sava", key.as_deref(), deadline.as_secs_f64(), Some(us), &us.to_string());
+        let text =
+            job(class.name, &id, "sava", key.as_deref(), deadline.as_secs_f64(), Some(us), &us.to_string());
         let attempt = Attempt { clients: &self, node, class, id: &id, deadline, habit, text: &text };
         let kept = stream.is_some();
         let end = attempt.run(stream, &mut random).await;
--- a/rig/src/soak/shim.rs
+++ b/rig/src/soak/shim.rs
@@ -93,8 +93,12 @@
     let (source, library) = (folder.join("faults.c"), folder.join("libfaults.so"));
     std::fs::write(&source, SOURCE)?;
     let compiler = std::env::var("CC").unwrap_or_else(|_| "cc".to_string());
-    let output =
-        Command::new(compiler).args(["-O1", "-shared", "-fPIC", "-o"]).arg(&library).arg(&source).arg("-ldl").output()?;
+    let output = Command::new(compiler)
+        .args(["-O1", "-shared", "-fPIC", "-o"])
+        .arg(&library)
+        .arg(&source)
+        .arg("-ldl")
+        .output()?;
     if output.status.success() {
         return Ok(library);
     }
