Outlast system calls that fail for a moment

Cause: each call site judged errors by itself, and took EINTR, ENOBUFS and the like for the end of a connection, a worker's failure or a refused start. tokio's signal driver panics on an interrupted read and loses a signal whose wake-up is interrupted; the log was written with blocking calls. Ruled out: short reads and writes (their test passed before); a clock that jumps in a running node, for the core's time is monotonic. Change: 'transient' says which errors pass; Socket, Acceptor and outlast are the ways through which all sockets go. A worker is not blamed for this machine's errors. The drain's grace and the last moment before SIGKILL leave room for a standstill. The time in a backlog that could not be accepted is taken off the client's wait.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -98,7 +98,7 @@
     Started(Tag),
     Progress(Tag, f64),
     Ended(Tag, Outcome, Option<LoadReport>, Bytes),
-    BrokeKept(Tag),
+    EndedBlameless(Tag, Outcome),
     List(Vec<WorkerEntry>, bool),
     ListFailed,
     Settings(Box<Settings>, Vec<Option<usize>>),
@@ -174,9 +174,10 @@
         self.put(Input::Ended(tag, outcome, report, result));
     }
 
-    /// An attempt has ended in a reset: its connection had served before and broke with no word on this job.
-    pub fn broke_kept(&self, tag: Tag) {
-        self.put(Input::BrokeKept(tag));
+    /// An attempt has ended in a way that tells nothing of its worker: a connection that had served before broke with no
+    /// word on this job, or this node could not open one.
+    pub fn ended_blameless(&self, tag: Tag, outcome: Outcome) {
+        self.put(Input::EndedBlameless(tag, outcome));
     }
 
     /// News of the workers: all of them, or the changed lines.
@@ -360,7 +361,7 @@
             }
             Input::Taken(_) | Input::Started(_) | Input::Progress(..) => {}
             Input::Ended(tag, outcome, report, result) => self.ended(tag, outcome, report, result, false),
-            Input::BrokeKept(tag) => self.ended(tag, Outcome::Reset, None, Bytes::new(), true),
+            Input::EndedBlameless(tag, outcome) => self.ended(tag, outcome, None, Bytes::new(), true),
             Input::List(entries, full) => {
                 self.tell(if full { Event::FullList(entries) } else { Event::ListChanges(entries) });
             }
--- a/node/src/faktory/mod.rs
+++ b/node/src/faktory/mod.rs
@@ -5,10 +5,14 @@
 mod leases;
 mod session;
 
+use crate::acceptor::Acceptor;
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Answer, Dispatcher, Front, Tag};
 use crate::names::read_settings;
 use crate::phase::Phase;
+use crate::platform::socket::Socket;
+use crate::transient::outlast;
+use crate::START_WAIT;
 use dewlever::api::{Outcome, Settings, WorkerId};
 use leases::{Leases, RecordId, OFFER_WAIT};
 use serde::Deserialize;
@@ -26,8 +30,6 @@
 
 /// How often a password is hashed.
 const ROUNDS: u32 = 4000;
-/// Between tries to accept where there is no descriptor left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// An operator's file: see `deploy/faktory.toml`.
 #[derive(Clone, Deserialize, PartialEq)]
@@ -199,7 +201,7 @@
 
 /// Listens where the operator's file says.
 pub async fn listen(operator: &Operator) -> Result<TcpListener, String> {
-    let listener = TcpListener::bind(operator.listen).await;
+    let listener = outlast(START_WAIT, || TcpListener::bind(operator.listen)).await;
     listener.map_err(|e| format!("cannot listen on {}: {e}", operator.listen))
 }
 
@@ -219,23 +221,16 @@
 }
 
 async fn accept(listener: TcpListener, room: Arc<Semaphore>, node: &Node) {
+    let mut acceptor = Acceptor::default();
     // The room is waited for before a connection is taken out of the backlog.
     while let Ok(permit) = room.clone().acquire_owned().await {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let node = node.clone();
-                tokio::spawn(async move {
-                    if socket.set_nodelay(true).is_ok() {
-                        node.session(socket).await;
-                    }
-                    drop(permit);
-                });
+        let socket = acceptor.next(&listener).await.socket;
+        let node = node.clone();
+        tokio::spawn(async move {
+            if socket.set_nodelay(true).is_ok() {
+                node.session(Socket::new(socket)).await;
             }
-            Err(e) => {
-                // Guards against a spin where no descriptor is left.
-                log::warn!("cannot accept: {e}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+            drop(permit);
+        });
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod acceptor;
 mod ask;
 pub mod cli;
 pub mod config;
@@ -20,6 +21,8 @@
 pub mod platform;
 pub mod reload;
 pub mod retune;
+pub mod signals;
+pub mod transient;
 pub mod upgrade;
 
 use config::{Sources, Told};
@@ -28,14 +31,18 @@
 use phase::Phases;
 use platform::Links;
 use reload::Reload;
+use signals::{Command, Signals};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use upgrade::{Before, Found};
 
+/// For which a start outlasts a machine that has no descriptor or buffer left.
+const START_WAIT: Duration = Duration::from_secs(4);
+
 /// Does what the command line says; without a command, runs a node as its environment says. Bad input ends it with one
 /// line on standard error and code 2, a node that could not be asked with code 1.
 pub fn run() -> ExitCode {
@@ -78,7 +85,9 @@
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     runtime.block_on(async {
         let phases = Phases::default();
-        phases.stop_on_signal().map_err(|e| format!("no signals: {e}"))?;
+        let signals = transient::outlast(START_WAIT, || async { Signals::start() }).await;
+        let signals = signals.map_err(|e| format!("no signals: {e}"))?;
+        phases.stop_on_signal(signals.clone());
         let (ready, follow_ready) = watch::channel(false);
         let reload = Reload::new(sources, told);
         let (discovery, tuning) = (reload.discovery(), reload.tuning());
@@ -121,9 +130,9 @@
             }
             _ => None,
         };
-        reload.on_signal().map_err(|e| format!("no signals: {e}"))?;
+        reload.on_signal(signals.clone());
         if let Some(at) = config.as_ref().and_then(|c| c.management) {
-            let listener = TcpListener::bind(at).await;
+            let listener = transient::outlast(START_WAIT, || TcpListener::bind(at)).await;
             let listener = listener.map_err(|e| format!("cannot listen on {at} (management): {e}"))?;
             let management = Management {
                 phases: phases.clone(),
@@ -137,10 +146,10 @@
             log::info!("counters: platform {}", counters[0]);
             log::info!("counters: faktory {}", counters[1]);
         };
-        let mut asked = signal(SignalKind::user_defined1()).map_err(|e| format!("no signals: {e}"))?;
         let (on_request, of_fleet) = (counters.clone(), fleet.clone());
         tokio::spawn(async move {
-            while asked.recv().await.is_some() {
+            loop {
+                signals.received(Command::Report).await;
                 say(&on_request);
                 if let Some(fleet) = &of_fleet {
                     fleet.log_counters().await;
@@ -162,13 +171,15 @@
                         Some(place) => Before::find(place).await,
                         None => Found::Nobody,
                     };
-                    let listen = |beside| {
-                        platform::listen(at, beside).map_err(|e| format!("cannot listen on {at}: {e}"))
+                    let listen = async |beside| {
+                        let listener =
+                            transient::outlast(START_WAIT, async || platform::listen(at, beside)).await;
+                        listener.map_err(|e| format!("cannot listen on {at}: {e}"))
                     };
                     let (listener, before) = match found {
                         Found::Process(listener, before) => (listener, Some(before)),
-                        Found::Hung => (listen(true)?, None),
-                        Found::Nobody => (listen(false)?, None),
+                        Found::Hung => (listen(true).await?, None),
+                        Found::Nobody => (listen(false).await?, None),
                     };
                     let counters = counters[0].clone();
                     let (phases, fleet) = (phases.clone(), fleet.clone());
--- a/node/src/logger.rs
+++ b/node/src/logger.rs
@@ -3,14 +3,43 @@
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use serde_json::{json, Map};
 use std::fmt::Write as _;
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// The longest record, in bytes. A pipe that is ready takes so many without a wait (`PIPE_BUF`).
+const RECORD_MAX: usize = 3_500;
+
 struct Logger {
     name: String,
     json: bool,
+    /// Records that found no room since the last one that did.
+    dropped: AtomicU64,
+}
+
+/// Whether standard error takes a record now. Guards the one thread: a pipe that nobody reads would hold it up.
+fn has_room() -> bool {
+    let stderr = std::io::stderr();
+    let mut descriptors = [PollFd::new(&stderr, PollFlags::OUT)];
+    match poll(&mut descriptors, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })) {
+        Ok(0) => false,
+        // One that can't be asked is written to: files are always ready.
+        Ok(_) | Err(_) => true,
+    }
+}
+
+/// Shortens a record to what a ready pipe takes.
+fn cut(line: &mut String) {
+    if line.len() > RECORD_MAX {
+        line.truncate(line.floor_char_boundary(RECORD_MAX));
+    }
+}
+
+fn lost(args: std::fmt::Arguments) -> Record {
+    Record::builder().args(args).level(log::Level::Warn).target("molevale").build()
 }
 
 /// A record's fields, in the order in which they stand there.
@@ -74,8 +103,26 @@
     fn log(&self, record: &Record) {
         if self.enabled(record.metadata()) {
             let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            if !has_room() {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+                return;
+            }
+            let mut line = self.line(at, record);
+            cut(&mut line);
+            let dropped = self.dropped.swap(0, Ordering::Relaxed);
+            if dropped > 0 {
+                let _ = write!(
+                    line,
+                    "\n{}",
+                    self.line(
+                        at,
+                        &lost(format_args!("{dropped} records were dropped: nobody reads the log"))
+                    )
+                );
+            }
+            line.push('\n');
             // A log that can't be written is no reason to stop serving.
-            let _ = writeln!(std::io::stderr(), "{}", self.line(at, record));
+            let _ = std::io::stderr().write_all(line.as_bytes());
         }
     }
 
@@ -87,7 +134,9 @@
 pub fn start(name: &str) {
     let level = std::env::var("MOLEVALE_LOG").ok().and_then(|v| v.parse().ok()).unwrap_or(LevelFilter::Info);
     let json = std::env::var("MOLEVALE_LOG_FORMAT").is_ok_and(|v| v == "json");
-    if log::set_boxed_logger(Box::new(Logger { name: name.to_string(), json })).is_ok() {
+    if log::set_boxed_logger(Box::new(Logger { name: name.to_string(), json, dropped: AtomicU64::new(0) }))
+        .is_ok()
+    {
         log::set_max_level(level);
     }
 }
@@ -98,7 +147,7 @@
 
     fn line(json: bool) -> String {
         let fields = [("member", Value::from("n 2")), ("count", Value::from(3)), ("node", Value::from("x"))];
-        let logger = Logger { name: "n1".to_string(), json };
+        let logger = Logger { name: "n1".to_string(), json, dropped: AtomicU64::new(0) };
         let args = format_args!("a \"member\"");
         let record = Record::builder().args(args).level(log::Level::Warn).key_values(&fields).build();
         logger.line(std::time::Duration::from_millis(1_002), &record)
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -1,7 +1,9 @@
 //! Where operators call: a small HTTP front of its own, so that they are heard however full the clients' door
 //! is. One call a connection; it reads and turns the phase and decides nothing else.
 
+use crate::acceptor::Acceptor;
 use crate::phase::Phases;
+use crate::platform::socket::Socket;
 use crate::{duties, fleet};
 use ::duties::{Reply, Seat, Wish, NAME_MAX};
 use http_body_util::Full;
@@ -17,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Callers at once. The platform's front keeps descriptors back for them.
 pub const CALLERS: usize = 8;
@@ -25,8 +27,6 @@
 const CALL_WAIT: Duration = Duration::from_secs(2);
 /// A call's head; more is refused.
 const BUFFER: usize = 8 * 1024;
-/// Between tries to accept where there is no descriptor left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What operators may ask and change.
 #[derive(Clone)]
@@ -45,24 +45,18 @@
     /// Answers calls for as long as the process lives.
     pub async fn serve(self, listener: TcpListener) {
         let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+        let mut acceptor = Acceptor::default();
         loop {
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    callers.retain(|c| !c.is_finished());
-                    // Guards calls against callers that hold all places and say nothing: the first one goes.
-                    while callers.len() >= CALLERS {
-                        let Some(first) = callers.pop_front() else { break };
-                        first.abort();
-                        let _ = first.await; // ends with an error by design; its descriptor is free now
-                    }
-                    let own = self.clone();
-                    callers.push_back(tokio::spawn(async move { own.call(socket).await }));
-                }
-                Err(e) => {
-                    log::warn!("management: cannot accept: {e}");
-                    sleep(ACCEPT_PAUSE).await;
-                }
+            let socket = acceptor.next(&listener).await.socket;
+            callers.retain(|c| !c.is_finished());
+            // Guards calls against callers that hold all places and say nothing: the first one goes.
+            while callers.len() >= CALLERS {
+                let Some(first) = callers.pop_front() else { break };
+                first.abort();
+                let _ = first.await; // ends with an error by design; its descriptor is free now
             }
+            let own = self.clone();
+            callers.push_back(tokio::spawn(async move { own.call(socket).await }));
         }
     }
 
@@ -70,7 +64,7 @@
         let service = service_fn(|request| async move { Ok::<_, Infallible>(self.answer(&request).await) });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).header_read_timeout(None).max_buf_size(BUFFER);
-        let connection = builder.serve_connection(TokioIo::new(socket), service);
+        let connection = builder.serve_connection(TokioIo::new(Socket::new(socket)), service);
         match timeout(CALL_WAIT, connection).await {
             Ok(Ok(())) => {}
             Ok(Err(e)) => log::debug!("management: {e}"),
--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -1,8 +1,8 @@
 //! Where a node is between its start and its end: one owner of that, and what may follow on what.
 
+use crate::signals::{Command, Signals};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, Instant};
 
@@ -13,8 +13,9 @@
 const EXCUSED: Duration = Duration::from_millis(700);
 /// SIGKILL comes no sooner than the longest deadline, but counted as this where it is longer, and 0.7 s more.
 const DEADLINE_MOST: Duration = Duration::from_secs(3);
-/// Before SIGKILL, for an answer to reach its client.
-const MARGIN: Duration = Duration::from_millis(100);
+/// Before SIGKILL, for an answer to reach its client, and for SIGTERM to have been heard late: by a process that was
+/// held up, or whose wake-up was lost (see [`crate::signals`]).
+const MARGIN: Duration = Duration::from_millis(300);
 
 /// Where a node is between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,18 +106,13 @@
     }
 
     /// Stops at SIGTERM (or SIGINT).
-    pub fn stop_on_signal(&self) -> std::io::Result<()> {
-        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    pub fn stop_on_signal(&self, signals: Signals) {
         let phases = self.clone();
         tokio::spawn(async move {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
-            }
+            signals.received(Command::Stop).await;
             log::info!("told to stop");
             phases.stop().await;
         });
-        Ok(())
     }
 
     /// By when a request that comes in now has to have its answer, where SIGKILL may come before its own time ends.
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -3,7 +3,7 @@
 use super::fields::{self, News};
 use super::moving::{Adopted, Line};
 use super::open::Id;
-use super::pool::{Connection, Pool};
+use super::pool::{Connection, NoConnection, Pool};
 use super::Job;
 use crate::counters::Counters;
 use crate::dispatcher::{Handle, Tag};
@@ -55,13 +55,13 @@
     outcome: Outcome,
     report: Option<LoadReport>,
     result: Bytes,
-    kept: bool, // it broke on a connection that had served before, with no word on this job
+    blameless: bool,                 // it tells nothing of the worker
     rest: Option<(Incoming, usize)>, // to be read before the connection is free again, so much at most
 }
 
 impl End {
     fn plain(outcome: Outcome) -> End {
-        End { outcome, report: None, result: Bytes::new(), kept: false, rest: None }
+        End { outcome, report: None, result: Bytes::new(), blameless: false, rest: None }
     }
 }
 
@@ -82,7 +82,7 @@
             // A sender that is dropped unused means that the core has ended.
             why = stopped => End::plain(why.unwrap_or(Outcome::Cancelled)),
         };
-        let End { outcome, report, result, kept, rest } = end;
+        let End { outcome, report, result, blameless, rest } = end;
         if parcel.line.moved.load(Ordering::Relaxed) {
             return; // another process goes on with it
         }
@@ -91,8 +91,8 @@
             if let Some(connection) = connection {
                 connection.close().await;
             }
-            if kept {
-                return self.handle.broke_kept(tag);
+            if blameless {
+                return self.handle.ended_blameless(tag, outcome);
             }
             return self.handle.ended(tag, outcome, report, result);
         };
@@ -117,12 +117,18 @@
     ) -> End {
         let again = adopted.is_some();
         let connection = match adopted {
-            Some(adopted) => self.pool.adopt(adopted, parcel.body.len()).await,
-            None => self.pool.connect(worker).await,
-        };
-        let Some(connection) = connection else {
             // An attempt that was made by another process may have run.
-            return End::plain(if again { Outcome::Reset } else { Outcome::ConnectFailed });
+            Some(adopted) => {
+                self.pool.adopt(adopted, parcel.body.len()).await.ok_or(End::plain(Outcome::Reset))
+            }
+            None => self.pool.connect(worker).await.map_err(|why| End {
+                blameless: why == NoConnection::Here,
+                ..End::plain(Outcome::ConnectFailed)
+            }),
+        };
+        let connection = match connection {
+            Ok(connection) => connection,
+            Err(end) => return end,
         };
         let connection = place.insert(connection);
         // Guards the worker where its connection came up after the client had left: nothing has gone out so far.
@@ -136,7 +142,7 @@
         match connection.sender.send_request(request).await {
             // Guards what must not run twice against another job's 'never ran': nothing was surely said of this one.
             Ok(response) if soon && response.status() != StatusCode::OK => {
-                End { kept: true, ..End::plain(Outcome::Reset) }
+                End { blameless: true, ..End::plain(Outcome::Reset) }
             }
             Ok(response) => self.read(tag, parcel, response).await,
             Err(e) => {
@@ -144,7 +150,8 @@
                 let whole = again || connection.meter.lock().map_or(true, |w| w.whole(parcel.body.len()));
                 // Unless some of the request surely is still here, it may have run.
                 let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
-                End { kept: whole && connection.kept, ..End::plain(outcome) }
+                // One that breaks on a kept connection with no word on this job: idle connections break unseen.
+                End { blameless: whole && connection.kept, ..End::plain(outcome) }
             }
         }
     }
@@ -158,7 +165,13 @@
                 _ => Outcome::Error,
             };
             let report = fields::load_header(&head.headers, &self.names.borrow());
-            return End { outcome, report, result: Bytes::new(), kept: false, rest: Some((body, WORDS_MAX)) };
+            return End {
+                outcome,
+                report,
+                result: Bytes::new(),
+                blameless: false,
+                rest: Some((body, WORDS_MAX)),
+            };
         }
         self.handle.taken(tag);
         let mut buffer = BytesMut::new();
@@ -186,7 +199,7 @@
                     News::Returned(report) => (Outcome::Full, report, Bytes::new()),
                     News::Lost(report) => (Outcome::Reset, report, Bytes::new()),
                 };
-                return End { outcome, report, result, kept: false, rest: Some((body, 0)) };
+                return End { outcome, report, result, blameless: false, rest: Some((body, 0)) };
             }
             // Guards memory against a line without an end.
             if buffer.len() > LINE_MAX {
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -1,6 +1,7 @@
 //! Follows discovery: the list that was known, then the whole list, then one watch after the other.
 
 use super::pool::Pool;
+use super::socket::Socket;
 use super::Job;
 use crate::counters::Counters;
 use crate::dispatcher::Handle;
@@ -375,7 +376,7 @@
 async fn connect(at: SocketAddr) -> Result<Sender, Box<dyn std::error::Error + Send + Sync>> {
     let socket = TcpStream::connect(at).await?;
     socket.set_nodelay(true)?;
-    let (sender, connection) = handshake(TokioIo::new(socket)).await?;
+    let (sender, connection) = handshake(TokioIo::new(Socket::new(socket))).await?;
     tokio::spawn(connection);
     Ok(sender)
 }
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -6,6 +6,7 @@
 use crate::counters::Counters;
 use crate::list::Member;
 use crate::names::Names;
+use crate::transient;
 use bytes::Bytes;
 use dewlever::api::WorkerId;
 use http_body_util::Full;
@@ -26,6 +27,18 @@
 /// Answers carry 64 KiB at most; no more is read ahead.
 const READ_AHEAD: usize = 64 * 1024;
 
+/// For which the process may be held up between the look at the clock and the write that follows.
+const STANDSTILL: Duration = Duration::from_millis(200);
+
+/// Why there is no connection to a worker. Nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConnection {
+    /// The worker, or the way there, did not take it.
+    NotTaken,
+    /// This node has no descriptor left, or may send nothing there any more: that tells nothing of the worker.
+    Here,
+}
+
 /// A connection to a worker. Dropped, it closes soon; see [`Connection::close`].
 pub struct Connection {
     /// Takes the next request.
@@ -178,12 +191,15 @@
         }
     }
 
-    /// A connection to this worker, idle or new; `None` if none comes up in time.
-    pub async fn connect(&self, worker: WorkerId) -> Option<Connection> {
+    /// A connection to this worker, idle or new.
+    ///
+    /// # Errors
+    /// Why there is none within the settings' time.
+    pub async fn connect(&self, worker: WorkerId) -> Result<Connection, NoConnection> {
         let times = self.current();
         let address = {
             let mut lines = self.lines();
-            let line = lines.get_mut(&worker)?;
+            let line = lines.get_mut(&worker).ok_or(NoConnection::NotTaken)?;
             while let Some(connection) = line.idle.pop() {
                 let young = connection.idle_since.elapsed() < times.keep;
                 // Guards the next request against what its worker has just said or done here and nobody has read: a second
@@ -192,33 +208,40 @@
                     if let Ok(mut written) = connection.meter.lock() {
                         *written = Written::default();
                     }
-                    return Some(connection);
+                    return Ok(connection);
                 }
             }
             line.address
         };
-        let connection = timeout(times.connect, self.open(address)).await.ok()??;
+        let connection = self.open(address, times.connect).await?;
         // Guards a worker that was told to drain while its connection was coming up: what is written now is new to it.
         let leaves = self.lines().get(&worker).and_then(|l| l.leaves);
-        leaves.is_none_or(|at| at.elapsed() < times.grace).then_some(connection)
+        let grace = times.grace.saturating_sub(STANDSTILL);
+        leaves.is_none_or(|at| at.elapsed() < grace).then_some(connection).ok_or(NoConnection::Here)
     }
 
-    async fn open(&self, address: SocketAddr) -> Option<Connection> {
+    async fn open(&self, address: SocketAddr, limit: Duration) -> Result<Connection, NoConnection> {
         // Guards the descriptor limit: at it, idle connections elsewhere make way, else there is none.
         let permit = match self.permits.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
                 self.let_go();
                 tokio::task::yield_now().await; // lets the drivers of those let go
-                self.permits.clone().try_acquire_owned().ok()?
+                self.permits.clone().try_acquire_owned().map_err(|_| NoConnection::Here)?
             }
         };
-        let socket = TcpStream::connect(address).await.ok()?;
-        socket.set_nodelay(true).ok()?;
-        let connection =
-            self.start(Metered::new(Socket::new(socket), Meter::default()), address, permit).await;
+        // Guards workers against this machine's own errors: a moment later there may be a socket.
+        let connect = transient::outlast(limit, || TcpStream::connect(address));
+        let socket = match timeout(limit, connect).await {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(e)) if transient::is_local(&e) => return Err(NoConnection::Here),
+            Ok(Err(_)) | Err(_) => return Err(NoConnection::NotTaken),
+        };
+        socket.set_nodelay(true).map_err(|_| NoConnection::NotTaken)?;
+        let socket = Metered::new(Socket::new(socket), Meter::default());
+        let connection = self.start(socket, address, permit).await;
         self.counters.opened.add();
-        connection
+        connection.ok_or(NoConnection::NotTaken)
     }
 
     /// A connection that another process has written a request to, with a body of this length; what its worker
--- a/node/src/platform/probe.rs
+++ b/node/src/platform/probe.rs
@@ -28,7 +28,7 @@
 /// The worker's load, if it has one to tell yet; `None` where it says no, or what is none. A connection that is not read to its
 /// end is closed.
 async fn ask(carrier: &Carrier, worker: WorkerId) -> Option<Option<LoadReport>> {
-    let mut connection = carrier.pool.connect(worker).await?;
+    let mut connection = carrier.pool.connect(worker).await.ok()?;
     let Connection { sender, address, .. } = &mut connection;
     let request =
         Request::get("/metrics/load").header(HOST, address.to_string()).body(Full::<Bytes>::default());
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -7,6 +7,7 @@
 use super::socket::Socket;
 use super::stock::Stock;
 use super::{fields, moving, Job};
+use crate::acceptor::{Accepted, Acceptor};
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
 use crate::names::Names;
@@ -28,7 +29,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -40,8 +41,6 @@
 const TURN_AWAY_WAIT: Duration = Duration::from_secs(1);
 /// For which a connection that makes way for another may take to bring its last answer out.
 const LEAVE_WAIT: Duration = Duration::from_millis(50);
-/// Between tries to accept where the process or the machine has no descriptor left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// For which a process that has handed over stays at least, to serve again should the new one fail.
 const LINGER: Duration = Duration::from_secs(5);
 /// For which a node that was told to stop waits beyond the last deadline, for answers to reach their clients.
@@ -86,21 +85,23 @@
     pub async fn run(self: Arc<Self>, listener: Arc<TcpListener>) {
         let server = self;
         let (mut phase, mut ours) = (server.phase.clone(), true);
+        let mut acceptor = Acceptor::default();
         while ours || *phase.borrow() != Phase::Closing {
             if phase.borrow_and_update().accepts() {
                 ours = true;
-                let socket = tokio::select! {
+                let accepted = tokio::select! {
                     biased;
-                    socket = accept(&listener) => Some(socket),
+                    accepted = acceptor.next(&listener) => Some(accepted),
                     _ = phase.wait_for(|p| !p.accepts()) => None,
                 };
-                if let Some(socket) = socket {
-                    server.take(socket).await;
+                acceptor.looks_away();
+                if let Some(accepted) = accepted {
+                    server.take(accepted).await;
                 }
             } else if *phase.borrow() == Phase::Closing {
                 // Guards what the backlog holds at the close: it counts as taken.
-                while let Ok(socket) = timeout(Duration::ZERO, accept(&listener)).await {
-                    server.take(socket).await;
+                while let Some(accepted) = acceptor.next_waiting(&listener).await {
+                    server.take(accepted).await;
                 }
                 break;
             } else {
@@ -122,12 +123,17 @@
         }
     }
 
-    async fn take(self: &Arc<Self>, socket: TcpStream) {
-        let server = self.clone();
+    async fn take(self: &Arc<Self>, accepted: Accepted) {
+        let (server, arrived) = (self.clone(), Instant::now());
+        let Accepted { socket, waited } = accepted;
+        if let Err(e) = socket.set_nodelay(true) {
+            log::debug!("client: {e}");
+        }
         let gate = Gate::new(Socket::new(socket));
         if let Some(seat) = self.stock.room.seat(&gate.watcher()).await {
             self.counters.accepted.add();
-            tokio::spawn(async move { server.serve(gate, seat, None).await });
+            let waited = waited + arrived.elapsed();
+            tokio::spawn(async move { server.serve(gate, seat, None, waited).await });
         } else if let Ok(permit) = self.stock.beyond.clone().try_acquire_owned() {
             tokio::spawn(async move {
                 // Past the wait the client has had its time to send and read.
@@ -160,15 +166,22 @@
         let Some(seat) = self.stock.room.moved(&gate.watcher()) else { return false };
         ids.remove(moving.id());
         let (server, adopted) = (self.clone(), moving.adopted(worker));
-        tokio::spawn(async move { server.serve(gate, seat, Some(adopted)).await });
+        tokio::spawn(async move { server.serve(gate, seat, Some(adopted), Duration::ZERO).await });
         true
     }
 
-    async fn serve(&self, gate: Gate<Socket>, seat: Seat, adopted: Option<Adopted>) {
+    /// Serves a connection to its end. Its first request may be as old as the time that it `waited` to be accepted.
+    async fn serve(&self, gate: Gate<Socket>, seat: Seat, adopted: Option<Adopted>, waited: Duration) {
         let (leash, watcher, over) = (gate.socket().leash(), gate.watcher(), Arc::new(Notify::new()));
         let client = moving::Client { leash, watcher: watcher.clone(), over: over.clone() };
-        let visit =
-            Visit { watcher, seat, requests: AtomicU64::new(0), client, adopted: Mutex::new(adopted) };
+        let visit = Visit {
+            watcher,
+            seat,
+            requests: AtomicU64::new(0),
+            client,
+            adopted: Mutex::new(adopted),
+            waited,
+        };
         let service = service_fn(|request| {
             let visit = &visit;
             async move { Ok::<_, Infallible>(self.request(request, visit).await) }
@@ -204,6 +217,19 @@
         }
     }
 
+    /// What is left of a client's wait, in microseconds, for the connection's newest request.
+    fn time_left(&self, stated_us: u64, visit: &Visit, names: &Names) -> u64 {
+        // Guards the client's wait, and what workers are told of it: it ran while nothing could be accepted.
+        let is_first = visit.requests.load(Ordering::Relaxed) == 1;
+        let waited = if is_first { visit.waited } else { Duration::ZERO };
+        let left = stated_us.saturating_sub(waited.as_micros() as u64);
+        // Guards the answer to a request that was written while the node stops: SIGKILL would cut it off.
+        match self.phases.last_moment(names.longest) {
+            Some(last) => left.min(last.saturating_duration_since(Instant::now()).as_micros() as u64),
+            None => left,
+        }
+    }
+
     async fn turn_away(&self, socket: Gate<Socket>) {
         let service = service_fn(|request| async move { Ok::<_, Infallible>(self.no_room(request).await) });
         log_end(builder().keep_alive(false).serve_connection(TokioIo::new(socket), service).await);
@@ -306,14 +332,12 @@
             .ids
             .open(id)
             .ok_or((StatusCode::CONFLICT, "a request with this X-Request-Id is open"))?;
-        // Guards the answer to a request that was written while the node stops: SIGKILL would cut it off.
-        if let Some(last) = self.phases.last_moment(names.longest).filter(|_| adopted.is_none()) {
-            let left = last.saturating_duration_since(Instant::now()).as_micros() as u64;
-            if left == 0 {
+        if adopted.is_none() {
+            fields.left_us = self.time_left(fields.left_us, visit, &names);
+            if fields.left_us == 0 {
                 self.counters.turned_away.add();
                 return Ok(refusal(SOON));
             }
-            fields.left_us = fields.left_us.min(left);
         }
         let (reply, answer) = oneshot::channel();
         let sent = adopted.as_ref().map(|a| a.sent);
@@ -360,6 +384,8 @@
     client: moving::Client,
     /// An attempt of another process, for the first request.
     adopted: Mutex<Option<Adopted>>,
+    /// The time for which the first request may have lain in the backlog.
+    waited: Duration,
 }
 
 /// Returns once the connection is to make way, and says whether it had an answer. Guards a request that has just come and
@@ -411,25 +437,6 @@
     }
 }
 
-/// The next connection.
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                if let Err(e) = socket.set_nodelay(true) {
-                    log::debug!("client: {e}");
-                }
-                return socket;
-            }
-            Err(e) => {
-                // Guards against a spin where no descriptor is left: the connection stays in the backlog.
-                log::warn!("cannot accept: {e}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 fn builder() -> http1::Builder {
     let mut builder = http1::Builder::new();
     // The gate keeps the time of heads: the library's own limit would end idle connections too.
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -1,8 +1,10 @@
 //! A TCP socket that may go to another process while it is in use: what this process does with it can be frozen
 //! at any moment, and what an earlier one has read of it comes first here.
 
+use crate::transient::{self, Again, PAUSE, REPEATS_AT_ONCE};
 use futures_util::FutureExt;
 use rustix::net::{recv, shutdown, RecvFlags, Shutdown};
+use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::os::fd::OwnedFd;
 use std::pin::Pin;
@@ -11,16 +13,67 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, Sleep};
 
 /// Between looks at a socket whose end may hide behind bytes that nobody reads.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Places of the two directions.
+const READ: usize = 0;
+const WRITE: usize = 1;
+
 #[derive(Default)]
 struct State {
     frozen: bool,
     wakers: [Option<Waker>; 2], // of who waits for it to thaw: to read, to write
     replay: Vec<u8>,            // to be read first
+    pauses: [Pause; 2],         // before a call that failed is made again: to read, to write
+}
+
+/// The calls that failed in a row, and the pause after many.
+#[derive(Default)]
+struct Pause {
+    failures: u32,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Pause {
+    /// Ready once the call may be made.
+    fn poll(&mut self, cx: &mut Context) -> Poll<()> {
+        if let Some(timer) = &mut self.timer {
+            ready!(timer.as_mut().poll(cx));
+            self.timer = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Takes note of a call's end. `None` where it is to be made again, by the next [`Pause::poll`].
+    fn outlasts<T>(&mut self, result: io::Result<T>) -> Option<io::Result<T>> {
+        let again = match &result {
+            Ok(_) => None,
+            Err(e) => transient::of_transfer(e),
+        };
+        let Some(again) = again else {
+            self.failures = 0;
+            return Some(result);
+        };
+        self.failures += 1;
+        if again == Again::Soon || self.failures >= REPEATS_AT_ONCE {
+            self.failures = 0;
+            self.timer = Some(Box::pin(sleep(PAUSE)));
+        }
+        None
+    }
+}
+
+/// What lies on a socket that nobody has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ahead {
+    Nothing,
+    Bytes,
+    End,
+    /// The look itself failed: it tells nothing of the other end.
+    Unknown,
 }
 
 /// Both halves of the socket, and who else has a hold on it.
@@ -79,26 +132,38 @@
         self.0.state().replay.is_empty()
     }
 
-    /// What lies there that nobody has read: bytes, an end, an error; 'would block' where nothing has come.
-    fn peek(&self) -> rustix::io::Result<usize> {
-        recv(&self.0.stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(_, n)| n)
+    /// The one look ahead: what lies there that nobody has read.
+    fn ahead(&self) -> Ahead {
+        for _ in 0..REPEATS_AT_ONCE {
+            match recv(&self.0.stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+                Ok((_, 0)) => return Ahead::End,
+                Ok(_) => return Ahead::Bytes,
+                Err(rustix::io::Errno::WOULDBLOCK) => return Ahead::Nothing,
+                Err(e) => match transient::of_transfer(&e.into()) {
+                    Some(Again::Now) => {}
+                    Some(Again::Soon) => return Ahead::Unknown,
+                    None => return Ahead::End,
+                },
+            }
+        }
+        Ahead::Unknown
     }
 
     /// Whether bytes lie there that nobody has read.
     pub fn has_unread(&self) -> bool {
-        self.peek().is_ok_and(|n| n > 0)
+        self.ahead() == Ahead::Bytes
     }
 
     /// Whether nothing has come that nobody has read, not even an end.
     pub fn is_quiet(&self) -> bool {
-        self.peek() == Err(rustix::io::Errno::WOULDBLOCK)
+        self.ahead() == Ahead::Nothing
     }
 
     /// Whether the other end has closed, half-closed or reset it by now, as far as the kernel has told.
     pub fn has_ended(&self) -> bool {
         let ready = self.0.stream.ready(Interest::READABLE).now_or_never();
         let told = matches!(ready, Some(Ok(ready)) if ready.is_read_closed());
-        told || !matches!(self.peek(), Ok(1..) | Err(rustix::io::Errno::WOULDBLOCK))
+        told || self.ahead() == Ahead::End
     }
 
     /// Returns once the other end has closed, half-closed or reset it, also behind bytes that nobody has read. While it
@@ -114,7 +179,7 @@
                     match self.0.stream.try_io(Interest::READABLE, peek) {
                         Ok(bytes) => bytes == 0,
                         Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
-                        Err(_) => true,
+                        Err(e) => transient::of_transfer(&e).is_none(),
                     }
                 }
                 Err(_) => true,
@@ -137,7 +202,7 @@
         {
             let mut state = self.0.state();
             if state.frozen {
-                state.wakers[0] = Some(cx.waker().clone());
+                state.wakers[READ] = Some(cx.waker().clone());
                 return Poll::Pending;
             }
             if !state.replay.is_empty() {
@@ -148,10 +213,14 @@
             }
         }
         loop {
+            ready!(self.0.state().pauses[READ].poll(cx));
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read_buf(buf) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(|_| ())),
+            let read = self.0.stream.try_read_buf(buf);
+            if read.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+                continue;
+            }
+            if let Some(read) = self.0.state().pauses[READ].outlasts(read) {
+                return Poll::Ready(read.map(|_| ()));
             }
         }
     }
@@ -162,15 +231,19 @@
         {
             let mut state = self.0.state();
             if state.frozen {
-                state.wakers[1] = Some(cx.waker().clone());
+                state.wakers[WRITE] = Some(cx.waker().clone());
                 return Poll::Pending;
             }
         }
         loop {
+            ready!(self.0.state().pauses[WRITE].poll(cx));
             ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write(bytes) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+            let written = self.0.stream.try_write(bytes);
+            if written.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+                continue;
+            }
+            if let Some(written) = self.0.state().pauses[WRITE].outlasts(written) {
+                return Poll::Ready(written);
             }
         }
     }
@@ -182,7 +255,7 @@
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         let mut state = self.0.state();
         if state.frozen {
-            state.wakers[1] = Some(cx.waker().clone());
+            state.wakers[WRITE] = Some(cx.waker().clone());
             return Poll::Pending;
         }
         Poll::Ready(match shutdown(&self.0.stream, Shutdown::Write) {
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -2,9 +2,9 @@
 
 use crate::config::{Sources, Told};
 use crate::retune::{lacks, Tuning};
+use crate::signals::{Command, Signals};
 use fleet::keys::Keys;
 use std::net::SocketAddr;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
 /// Owns the configuration of a running node and what may change in it.
@@ -43,10 +43,10 @@
 
     /// Reads everything again at each SIGHUP, as long as the process lives. Guards against a node that ends on
     /// SIGHUP: from here on the signal has a handler, whichever fronts run and whatever phase it is.
-    pub fn on_signal(mut self) -> std::io::Result<()> {
-        let mut asked = signal(SignalKind::hangup())?;
+    pub fn on_signal(mut self, signals: Signals) {
         tokio::spawn(async move {
-            while asked.recv().await.is_some() {
+            loop {
+                signals.received(Command::Reload).await;
                 // All or nothing: of a file that is not whole, nothing is taken.
                 match self.again() {
                     Ok(changed) => log::info!("reload: {changed}"),
@@ -54,7 +54,6 @@
                 }
             }
         });
-        Ok(())
     }
 
     /// Checks all of it before anything changes; says what did.
--- a/src/api.rs
+++ b/src/api.rs
@@ -332,7 +332,7 @@
     /// Whether the request is finished.
     pub last: bool,
     /// With `Reset`: its connection had served before and broke with no word on this job. Idle connections
-    /// break unseen, so that is no sign against the worker.
+    /// break unseen, so that is no sign against the worker. With `ConnectFailed`: this dispatcher could open none.
     pub kept: bool,
     /// The load report that came along.
     pub report: Option<LoadReport>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -813,7 +813,7 @@
             // A connection that breaks after the work was done is no quick failure: it draws no jobs.
             Outcome::Reset if (self.now - a.sent) as f64 > 0.5 * usual => self.alive(w, false, out),
             Outcome::Error if guilty => {}
-            Outcome::Reset if e.kept => {}
+            Outcome::Reset | Outcome::ConnectFailed if e.kept => {}
             Outcome::Reset => self.broke(w, out),
             Outcome::Error | Outcome::ConnectFailed => self.doubt(w, out),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
