Bound workers' starts by what the node has seen itself

Ruled out: the view's incarnations, which start from Unix time too, but a lower one of a name that is held returns above it. Change: src/start_time.rs; a node that was silent for 5 s is heard whatever its time; a local agent is asked after 0.2 s at most. Open: a node whose clock is ahead when it starts, for workers that are cold in its first list.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -223,18 +223,20 @@
 
 /// Unix time at the start plus monotonic time since: it never runs backwards.
 #[derive(Clone, Copy)]
-struct Clock {
+pub struct Clock {
     unix_us: Time,
     start: Instant,
 }
 
 impl Clock {
-    fn start() -> Self {
+    /// Starts from the wall clock as it is now.
+    pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { unix_us: unix.as_micros() as Time, start: Instant::now() }
     }
 
-    fn now(&self) -> Time {
+    /// The time, in microseconds.
+    pub fn now(&self) -> Time {
         self.unix_us + self.start.elapsed().as_micros() as Time
     }
 }
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -44,6 +44,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after calls that discovery turned away, which says that it is asked too much.
 const PAUSE_MAX: Duration = Duration::from_secs(3);
+/// The same where lists are pushed: the agent is asked by this node alone, and what it has counts as told at once.
+const PAUSE_PUSHED_MAX: Duration = Duration::from_millis(200);
 
 /// Brings the worker list to the pool and the core.
 pub struct Lists {
@@ -160,11 +162,10 @@
     fn feed(&self, list: &ListBody) {
         self.latest.lock().unwrap_or_else(PoisonError::into_inner).merge(list);
         self.pool.listed(&list.members, list.complete);
-        if list.complete || !list.members.is_empty() {
-            let names = self.names.borrow().clone();
-            let entries = list.members.iter().map(|m| m.entry(&names)).collect();
-            self.handle.list(entries, list.complete);
-        }
+        // One without changes too: who begins to stand in the next one has started since.
+        let names = self.names.borrow().clone();
+        let entries = list.members.iter().map(|m| m.entry(&names)).collect();
+        self.handle.list(entries, list.complete);
     }
 }
 
@@ -215,6 +216,7 @@
     wait_least: Duration,
     first: Duration,
     next: Duration,
+    longest: Duration,
 }
 
 impl Pauses {
@@ -223,10 +225,26 @@
         let rng = fastrand::Rng::with_seed(seed);
         if asked {
             let first = (PAUSE / 4 * siblings).clamp(PAUSE, PAUSE_MAX);
-            Pauses { rng, wait: WAIT, wait_unsure: WAIT_UNSURE, wait_least: WAIT_LEAST, first, next: first }
+            Pauses {
+                rng,
+                wait: WAIT,
+                wait_unsure: WAIT_UNSURE,
+                wait_least: WAIT_LEAST,
+                first,
+                next: first,
+                longest: PAUSE_MAX,
+            }
         } else {
             let (wait, unsure) = (WAIT_PUSHED, WAIT_PUSHED_UNSURE);
-            Pauses { rng, wait, wait_unsure: unsure, wait_least: unsure, first: PAUSE, next: PAUSE }
+            Pauses {
+                rng,
+                wait,
+                wait_unsure: unsure,
+                wait_least: unsure,
+                first: PAUSE,
+                next: PAUSE,
+                longest: PAUSE_PUSHED_MAX,
+            }
         }
     }
 
@@ -245,7 +263,7 @@
     /// Each twice the last, and anywhere from a half of that to the whole, so that nodes don't stay in step.
     fn refused(&mut self) -> Duration {
         let pause = self.next.mul_f64(0.5 + 0.5 * self.rng.f64());
-        self.next = (self.next * 2).min(PAUSE_MAX);
+        self.next = (self.next * 2).min(self.longest);
         pause
     }
 }
--- a/node/src/platform/peers.rs
+++ b/node/src/platform/peers.rs
@@ -3,13 +3,13 @@
 
 use super::Job;
 use crate::counters::Counters;
-use crate::dispatcher::{number_of, Handle};
+use crate::dispatcher::{number_of, Clock, Handle};
 use crate::fleet::datagrams;
 use crate::names::Names;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{sleep, Instant};
@@ -20,6 +20,8 @@
 const VERSION: u8 = 1;
 /// The version, who the tenants are, and when it was sent.
 const HEAD: usize = 9;
+/// After which a node that said nothing may have started anew: all tell oftener by far.
+const SILENCE: Duration = Duration::from_secs(5);
 /// Datagrams read in a second for each peer, whoever sent them: all tell seldomer by far.
 const READ: usize = 50;
 
@@ -46,16 +48,29 @@
     number_of(&names.tenants.join("\n")) as u32
 }
 
-fn unix_ms() -> u32 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u32
-}
-
 /// The socket, and who the others are.
 pub struct Datagrams {
     socket: UdpSocket,
     peers: Vec<SocketAddr>,
     names: watch::Receiver<Arc<Names>>,
     counters: Arc<Counters>,
+    /// Never runs backwards while the process lives.
+    clock: Clock,
+}
+
+/// The last datagram of a node that counted.
+#[derive(Clone, Copy)]
+struct Last {
+    at_ms: u32,
+    heard: Instant,
+}
+
+impl Last {
+    /// Whether one sent at this time is newer. A node that was silent for a while may have started anew, with a clock
+    /// that was set back.
+    fn yields_to(self, at_ms: u32) -> bool {
+        newer(at_ms, self.at_ms) || self.heard.elapsed() >= SILENCE
+    }
 }
 
 impl Datagrams {
@@ -66,12 +81,13 @@
         names: watch::Receiver<Arc<Names>>,
         counters: Arc<Counters>,
     ) -> io::Result<Datagrams> {
-        Ok(Datagrams { socket: datagrams(at)?, peers, names, counters })
+        Ok(Datagrams { socket: datagrams(at)?, peers, names, counters, clock: Clock::start() })
     }
 
     /// Tells another node, by its number. One that can't go out now is lost, as on its way.
     pub fn tell(&self, to: u32, told: &[u8]) {
-        let datagram = datagram(tenants(&self.names.borrow()), unix_ms(), told);
+        let at_ms = (self.clock.now() / 1000) as u32;
+        let datagram = datagram(tenants(&self.names.borrow()), at_ms, told);
         let (Some(datagram), Some(to)) = (datagram, self.peers.get(to as usize)) else { return };
         match self.socket.try_send_to(&datagram, *to) {
             Ok(_) => self.counters.told.add(),
@@ -81,7 +97,7 @@
 
     /// Brings what known nodes tell to the core. Guards against what is old or came twice by its time.
     pub async fn follow(&self, handle: Handle<Job>) {
-        let mut last: Vec<Option<u32>> = vec![None; self.peers.len()];
+        let mut last: Vec<Option<Last>> = vec![None; self.peers.len()];
         let (mut second, mut read_in) = (Instant::now(), 0);
         let mut buffer = [0; DATAGRAM_MAX + 1]; // a longer one is seen to be longer
         loop {
@@ -102,8 +118,8 @@
             };
             let Some(from) = self.peers.iter().position(|p| *p == sender) else { continue };
             let Some((at, told)) = read(tenants(&self.names.borrow()), &buffer[..n]) else { continue };
-            if last[from].is_none_or(|last| newer(at, last)) {
-                last[from] = Some(at);
+            if last[from].is_none_or(|last| last.yields_to(at)) {
+                last[from] = Some(Last { at_ms: at, heard: Instant::now() });
                 self.counters.heard.add();
                 handle.peer(from as u32, told.to_vec());
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod policy;
 pub mod settings;
 pub mod slow_start;
+pub mod start_time;
 mod support;
 mod weights;
 pub mod window;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 
 use crate::api::*;
 use crate::slow_start::{self, Fleet, Sender, Start, Used};
+use crate::start_time::{local_start, ListHistory};
 use crate::support::{mix, pack, unit, unpack, Agenda, LeastSquares, Recent, Rng};
 use crate::weights::Weights;
 use crate::window::Window;
@@ -98,7 +99,8 @@
 
 #[derive(Default)]
 struct Worker {
-    id: WorkerId, kind: u8, zone: u8, cell: u32, scale: f64, since: Time, ready: bool, listed: bool,
+    id: WorkerId, kind: u8, zone: u8, cell: u32, scale: f64, ready: bool, listed: bool,
+    told_since: Time, since: Time, // its start as told, and by our own clock
     held: f64, overdue: u32, cap: f64, there: f64,    // our jobs there, waiting, at most; those of all
     slow: f64, crowd: f64,                            // run times over the usual; had no room
     free: f64, free_at: Time,                         // free slots as reported, less what we sent since
@@ -152,7 +154,7 @@
     jobs: BTreeMap<RequestId, Job>,
     waiting: BTreeSet<Rank>, // admitted and not sent
     tenants: Vec<Tenant>, classes: Vec<Class>, turn: usize,
-    workers: Vec<Worker>, index: BTreeMap<WorkerId, usize>,
+    workers: Vec<Worker>, index: BTreeMap<WorkerId, usize>, lists: ListHistory,
     near: Vec<usize>, far: Vec<usize>, scale: f64, most_scale: f64, // those ready; their sizes' sum; its peak
     open: Vec<usize>,                              // those with room now, where keys count
     suspects: BTreeMap<(u8, u64), Suspect>, // by key, class, tenant
@@ -927,6 +929,8 @@
 
     fn list(&mut self, entries: &[WorkerEntry], full: bool) {
         let (soft, now, shared) = (self.set.rules.soft_removal, self.now, self.shared());
+        let earliest = self.lists.earliest_start();
+        self.lists.record(now);
         if full { self.workers.iter_mut().for_each(|w| w.unlist(soft, now)); }
         for e in entries {
             self.kinds.resize(self.kinds.len().max(e.kind as usize + 1), (1.0, 0.0, 1.0));
@@ -934,11 +938,12 @@
             let fresh = i == self.workers.len();
             if fresh { self.workers.push(Worker::default()); }
             let w = &mut self.workers[i];
-            if e.since > w.since || fresh {
+            if e.since > w.told_since || fresh {
                 // A restart knows nothing of what we learned.
-                let (id, kind, zone, cell, since) = (e.worker, e.kind, e.zone, e.cell, e.since);
+                let (id, kind, zone, cell, told_since) = (e.worker, e.kind, e.zone, e.cell, e.since);
+                let since = local_start(told_since, now, earliest);
                 let own = Worker { held: w.held, overdue: w.overdue, ..Worker::default() };
-                *w = Worker { id, kind, zone, cell, since, cap: CAP_START, slow: 1.0, ..own };
+                *w = Worker { id, kind, zone, cell, told_since, since, cap: CAP_START, slow: 1.0, ..own };
             }
             match e.availability {
                 Availability::Ready => (w.ready, w.listed) = (true, true),
--- a/tests/start_times.rs
+++ b/tests/start_times.rs
@@ -63,16 +63,19 @@
 /// worker was first listed.
 #[test]
 fn a_worker_is_warm_in_its_time_where_the_clock_is_behind() {
-    let mut desk = desk(-(HOUR as i64));
-    let started = desk.now + HOUR - S;
-    desk.tell(successor(started));
-    let cold = jobs_sent(&mut desk, 1);
-    for _ in 0..25 {
-        desk.pass(S);
-        desk.tell(Event::ListChanges(vec![]));
-    }
-    let warm = jobs_sent(&mut desk, 1_000);
-    assert!(warm >= 70, "{cold} jobs while it was cold, {warm} after its time");
+    let warm = |ahead: i64| {
+        let mut desk = desk(ahead);
+        let started = desk.now.checked_add_signed(-ahead).unwrap() - S;
+        desk.tell(successor(started));
+        for _ in 0..25 {
+            desk.pass(S);
+            desk.tell(Event::ListChanges(vec![]));
+        }
+        jobs_sent(&mut desk, 1)
+    };
+    let (right, behind) = (warm(0), warm(-(HOUR as i64)));
+    assert!(right >= 70, "{right} jobs with the right clock");
+    assert_eq!(behind, right, "with the clock behind, and with the right one");
 }
 
 /// Guards warm workers against being held for cold: a dispatcher that has just started knows of none when it began to
