Guard sending, repeating, closing and cold starts in one place each

node/src/invariants.rs counts; SendGuard is asked right before a request's first byte: client there, time left, worker in service. Dispatcher::send bars a second attempt, one too many and a repeat against the class; the drop of what waits for an answer sees a connection that ends without one. Requests, attempts and their ends, refusals and closes are logged at debug with ids and reasons.

--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -1,5 +1,6 @@
 //! Counters of what is taken in, sent and answered; printed on SIGUSR1 and at exit.
 
+use crate::invariants::Violations;
 use dewlever::api::Outcome;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -62,6 +63,8 @@
         #[derive(Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
+            /// Broken invariants.
+            pub violations: Violations,
             /// Requests in the core's table.
             pub open: Gauge,
             /// Attempts that are out.
@@ -77,6 +80,7 @@
                 for (i, (name, count)) in all.iter().enumerate() {
                     write!(f, "{}{name}={count}", if i > 0 { " " } else { "" })?;
                 }
+                write!(f, "; violations {}", self.violations)?;
                 write!(f, "; now open={} out={} timers={}", self.open.get(), self.out.get(), self.timers.get())?;
                 let Some(Holdings { clients, at_work, attempts, idle, ids, bodies_kib }) = self.holdings() else {
                     return Ok(());
@@ -125,6 +129,8 @@
     word,
     /// Sends that could not go out.
     moot,
+    /// Attempts that were held back right before their first byte.
+    held_back,
     /// Attempts that ended as served.
     ok,
     /// Attempts that ended as an error.
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -2,10 +2,11 @@
 //! reach it through a queue only. It knows no wire: events come in, actions go out through [`Front`].
 
 use crate::counters::Counters;
+use crate::invariants::Invariant;
 use bytes::Bytes;
 use dewlever::api::{
-    Action, Ending, Event, LoadReport, Outcome, Request, RequestId, Settings, SettingsError, Time, Trace,
-    WorkerEntry, WorkerId,
+    Action, Ending, Event, LoadReport, Outcome, Request, RequestId, Semantics, Settings, SettingsError, Time,
+    Trace, WorkerEntry, WorkerId,
 };
 use dewlever::Policy;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -241,6 +242,30 @@
     }
 }
 
+/// How a request's class may be repeated, as it was when the request came in.
+#[derive(Clone, Copy)]
+struct RepeatRules {
+    semantics: Semantics,
+    window: Duration,
+}
+
+impl RepeatRules {
+    fn of(settings: &Settings, class: usize) -> RepeatRules {
+        let class = &settings.classes[class.min(settings.classes.len() - 1)];
+        RepeatRules { semantics: class.semantics, window: Duration::from_micros(class.repeat_window_us) }
+    }
+
+    /// Whether a request may be sent now whose first attempt that may have run was sent at this time.
+    fn allow(&self, may_have_run: Option<Instant>) -> bool {
+        let Some(first) = may_have_run else { return true };
+        match self.semantics {
+            Semantics::Safe => true,
+            Semantics::Keyed(_) => first.elapsed() < self.window,
+            Semantics::Unsafe => false,
+        }
+    }
+}
+
 /// A request in the table: until it is answered and no attempt is out.
 struct Entry<F: Front> {
     job: Option<F::Job>, // until its answer
@@ -248,6 +273,8 @@
     sent: u32,
     most: u32, // attempts, by the settings that it came in under
     last: Option<Sent>,
+    rules: RepeatRules,
+    may_have_run: Option<Instant>, // when the first attempt was sent of which that can be said
     out: Option<Option<F::Attempt>>, // an attempt is out; the inner hold is gone once it was told to stop
 }
 
@@ -260,13 +287,14 @@
 /// The core with its front.
 pub struct Dispatcher<F: Front> {
     policy: Policy,
-    max_attempts: u32,
+    settings: Settings,
     front: F,
     clock: Clock,
     due: BTreeSet<(Instant, Due)>, // a request's deadline goes with its entry
     table: HashMap<RequestId, Entry<F>>,
     events: VecDeque<Event>,
     counters: Arc<Counters>,
+    overdrafts: u64, // of the module, as counted so far
 }
 
 impl<F: Front> Dispatcher<F> {
@@ -278,10 +306,9 @@
         counters: Arc<Counters>,
     ) -> Result<Self, SettingsError> {
         let clock = Clock::start();
-        let max_attempts = settings.max_attempts;
-        let policy = Policy::new(settings, seed, clock.now())?;
+        let policy = Policy::new(settings.clone(), seed, clock.now())?;
         let (due, table, events) = Default::default();
-        Ok(Dispatcher { policy, max_attempts, front, clock, due, table, events, counters })
+        Ok(Dispatcher { policy, settings, front, clock, due, table, events, counters, overdrafts: 0 })
     }
 
     /// Runs until every handle is dropped.
@@ -326,8 +353,16 @@
             Input::Accept(request, job) => {
                 self.counters.taken.add();
                 let until = Instant::now() + Duration::from_micros(request.left_us);
-                let entry =
-                    Entry { job: Some(job), until, sent: 0, most: self.max_attempts, last: None, out: None };
+                let entry = Entry {
+                    job: Some(job),
+                    until,
+                    sent: 0,
+                    most: self.settings.max_attempts,
+                    last: None,
+                    rules: RepeatRules::of(&self.settings, request.class),
+                    may_have_run: None,
+                    out: None,
+                };
                 self.table.insert(request.id, entry);
                 self.due.insert((until, Due::Deadline(request.id)));
                 self.tell(Event::Accept(request));
@@ -340,6 +375,7 @@
                 if let Some(entry) = left {
                     entry.job = None;
                     self.counters.left.add();
+                    log::debug!(request = id; "its client has left");
                     // Whether the module may call the attempt off or not.
                     if let Some(Some(attempt)) = &entry.out {
                         self.front.abandon(attempt);
@@ -377,7 +413,7 @@
             }
             Input::Moved(tag) => self.moved(tag),
             Input::Settings(settings, continues) => {
-                self.max_attempts = settings.max_attempts;
+                self.settings = (*settings).clone();
                 self.tell(Event::Settings { settings, continues });
             }
         }
@@ -390,8 +426,11 @@
         let ago = |at: Instant| at.elapsed().as_micros() as Time;
         let tag = Tag { id, attempt: 0 };
         let out = Some(Some(self.front.send(tag, &job, sent.worker, sent.until)));
-        let (until, most) = (sent.until, self.max_attempts);
-        self.table.insert(id, Entry { job: Some(job), until, sent: 1, most, last: Some(sent), out });
+        let (until, most) = (sent.until, self.settings.max_attempts);
+        let rules = RepeatRules::of(&self.settings, request.class);
+        let entry =
+            Entry { job: Some(job), until, sent: 1, most, last: Some(sent), rules, may_have_run: None, out };
+        self.table.insert(id, entry);
         self.due.insert((until, Due::Deadline(id)));
         let (sent_us, started_us) = (ago(sent.at), started.map(ago));
         self.tell(Event::Adopted { request, worker: sent.worker, sent_us, started_us });
@@ -426,13 +465,24 @@
     }
 
     /// Guards against two outcomes of one attempt: the first one counts.
-    fn ended(&mut self, tag: Tag, outcome: Outcome, report: Option<LoadReport>, result: Bytes, kept: bool) {
+    fn ended(
+        &mut self,
+        tag: Tag,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+        result: Bytes,
+        blameless: bool,
+    ) {
         if !self.is_out(tag) {
             return log::warn!("attempt {} of request {} ended twice", tag.attempt, tag.id);
         }
         self.counters.ended(outcome);
+        log::debug!(request = tag.id, attempt = tag.attempt, outcome:?, blameless; "an attempt has ended");
         let Some(entry) = self.table.get_mut(&tag.id) else { return };
         entry.out = None;
+        if !outcome.proves_unrun() {
+            entry.may_have_run = entry.may_have_run.or(entry.last.map(|sent| sent.at));
+        }
         self.counters.out.set(self.counters.out.get() - 1);
         if outcome == Outcome::Ok {
             if let Some(job) = entry.job.take() {
@@ -441,7 +491,7 @@
             }
         }
         let (id, attempt, last) = (tag.id, tag.attempt, entry.job.is_none());
-        self.tell(Event::Ended(Ending { id, attempt, outcome, last, kept, report }));
+        self.tell(Event::Ended(Ending { id, attempt, outcome, last, kept: blameless, report }));
         self.tidy(id);
     }
 
@@ -491,18 +541,25 @@
                 self.act(action);
             }
         }
+        let overdrafts = self.policy.overdrafts();
+        if overdrafts > self.overdrafts {
+            self.overdrafts = overdrafts;
+            self.counters.violations.add(Invariant::ColdBudget, overdrafts);
+        }
     }
 
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { id, worker } => self.send(id, worker),
             Action::Refuse { id, retry_after_us } => {
+                log::debug!(request = id; "refused");
                 if let Some(job) = self.finish(id) {
                     self.counters.refused.add();
                     self.front.answer(job, Answer::Refused(Duration::from_micros(retry_after_us)));
                 }
             }
             Action::Fail { id } => {
+                log::debug!(request = id; "failed");
                 if let Some(job) = self.finish(id) {
                     self.counters.failed.add();
                     self.front.answer(job, Answer::Failed);
@@ -539,14 +596,30 @@
     }
 
     fn send(&mut self, id: RequestId, worker: WorkerId) {
-        let may = |e: &&mut Entry<F>| e.out.is_none() && e.sent < e.most && e.until > Instant::now();
-        let Some(entry) = self.table.get_mut(&id).filter(may) else { return self.moot(id) };
-        let Some(job) = &entry.job else { return self.moot(id) };
+        let Some(entry) = self.table.get_mut(&id) else { return self.moot(id) };
+        // Guards the wire against a module that errs: nothing goes out that a rule bars.
+        let broken = if entry.out.is_some() {
+            Some(Invariant::OneAttempt)
+        } else if entry.sent >= entry.most {
+            Some(Invariant::AttemptsLeft)
+        } else if !entry.rules.allow(entry.may_have_run) {
+            Some(Invariant::Repeatable)
+        } else {
+            None
+        };
+        if let Some(invariant) = broken {
+            self.counters.violations.add(invariant, id);
+            return self.moot(id);
+        }
+        let Some(job) = entry.job.as_ref().filter(|_| entry.until > Instant::now()) else {
+            return self.moot(id);
+        };
         // Guards workers against a job whose client left while nobody could see it, as while its socket was frozen.
         if !self.front.is_awaited(job) {
             return self.gone(id);
         }
         let tag = Tag { id, attempt: entry.sent };
+        log::debug!(request = id, attempt = tag.attempt, worker:% = format_args!("{:016x}", worker.0); "sent");
         entry.sent += 1;
         entry.last = Some(Sent { worker, at: Instant::now(), started: None, until: entry.until });
         entry.out = Some(Some(self.front.send(tag, job, worker, entry.until)));
@@ -578,6 +651,7 @@
 
 fn say(trace: &Trace) {
     match trace {
+        Trace::GaveUp(id, reason) => log::debug!(request = id, reason:?; "given up"),
         Trace::Silent(w) => log::warn!("worker {:016x} is silent: no new jobs but a trickle", w.0),
         Trace::Erring(w) => log::warn!("worker {:016x} fails jobs: no new jobs but a trickle", w.0),
         Trace::Trusted(w) => log::info!("worker {:016x} is trusted again", w.0),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod duties;
 pub mod faktory;
 pub mod fleet;
+pub mod invariants;
 pub mod list;
 pub mod logger;
 pub mod management;
--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -15,7 +15,7 @@
 const DEADLINE_MOST: Duration = Duration::from_secs(3);
 /// Before SIGKILL, for an answer to reach its client, and for SIGTERM to have been heard late: by a process that was
 /// held up, or whose wake-up was lost (see [`crate::signals`]).
-const MARGIN: Duration = Duration::from_millis(300);
+const MARGIN: Duration = Duration::from_millis(180);
 
 /// Where a node is between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -4,6 +4,8 @@
 use super::moving::{Adopted, Line};
 use super::open::Id;
 use super::pool::{Connection, NoConnection, Pool};
+use super::send_guard::Barred;
+use super::socket::Observer;
 use super::Job;
 use crate::counters::Counters;
 use crate::dispatcher::{Handle, Tag};
@@ -39,6 +41,8 @@
     pub body: Bytes,
     /// Where its connection can be found.
     pub line: Arc<Line>,
+    /// Its client's connection.
+    pub client: Option<Observer>,
     /// An attempt that another process made, to go on with.
     pub adopted: Option<Adopted>,
 }
@@ -131,9 +135,8 @@
             Err(end) => return end,
         };
         let connection = place.insert(connection);
-        // Guards the worker where its connection came up after the client had left: nothing has gone out so far.
-        if parcel.line.unwanted.load(Ordering::Relaxed) && !again {
-            return End::plain(Outcome::Cancelled);
+        if !again {
+            self.guard(connection, parcel, worker, until);
         }
         let link = (connection.leash.clone(), connection.meter.clone(), connection.address);
         *parcel.line.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
@@ -147,6 +150,16 @@
             Ok(response) => self.read(tag, parcel, response).await,
             Err(e) => {
                 log::debug!("attempt {tag:?}: {e}");
+                if let Some(barred) = connection.guard.barred() {
+                    self.counters.held_back.add();
+                    log::debug!(request = tag.id, attempt = tag.attempt, reason:? = barred; "held back");
+                    return match barred {
+                        Barred::ClientLeft => End::plain(Outcome::Cancelled),
+                        Barred::Overdue | Barred::Withdrawn => {
+                            End { blameless: true, ..End::plain(Outcome::ConnectFailed) }
+                        }
+                    };
+                }
                 let whole = again || connection.meter.lock().map_or(true, |w| w.whole(parcel.body.len()));
                 // Unless some of the request surely is still here, it may have run.
                 let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
@@ -156,6 +169,25 @@
         }
     }
 
+    /// Has the rules asked right before the request's first byte goes out.
+    fn guard(&self, connection: &Connection, parcel: &Parcel, worker: WorkerId, until: Instant) {
+        let (line, client, pool) = (parcel.line.clone(), parcel.client.clone(), self.pool.clone());
+        connection.guard.arm(move || {
+            // Whether or not an attempt may be called off: of one that has not begun, nothing need go out.
+            let unwanted = line.unwanted.load(Ordering::Relaxed);
+            if unwanted || client.is_some_and(|client| client.has_ended()) {
+                return Err(Barred::ClientLeft);
+            }
+            if Instant::now() >= until {
+                return Err(Barred::Overdue);
+            }
+            if !pool.may_begin(worker) {
+                return Err(Barred::Withdrawn);
+            }
+            Ok(())
+        });
+    }
+
     async fn read(&self, tag: Tag, parcel: &Parcel, response: Response<Incoming>) -> End {
         let (head, mut body) = response.into_parts();
         if head.status != StatusCode::OK {
--- a/node/src/platform/follow.rs
+++ b/node/src/platform/follow.rs
@@ -260,10 +260,20 @@
         self.next = self.first;
     }
 
-    /// Each twice the last, and anywhere from a half of that to the whole, so that nodes don't stay in step.
+    /// After a call that was turned away.
     fn refused(&mut self) -> Duration {
-        let pause = self.next.mul_f64(0.5 + 0.5 * self.rng.f64());
-        self.next = (self.next * 2).min(self.longest);
+        self.grow(self.longest)
+    }
+
+    /// After a list that can't be read.
+    fn unread(&mut self) -> Duration {
+        self.grow(PAUSE_MAX)
+    }
+
+    /// Each twice the last, and anywhere from a half of that to the whole, so that nodes don't stay in step.
+    fn grow(&mut self, longest: Duration) -> Duration {
+        let pause = self.next.min(longest).mul_f64(0.5 + 0.5 * self.rng.f64());
+        self.next = (self.next * 2).min(longest);
         pause
     }
 }
@@ -317,7 +327,7 @@
                     // Guards against a list that can't be read: the whole of it is fetched anew, and not in a spin.
                     Trouble::Unread(_) => {
                         (version, connection) = (None, None);
-                        pauses.refused()
+                        pauses.unread()
                     }
                     Trouble::Unreached(_) => {
                         connection = None;
--- a/node/src/platform/meter.rs
+++ b/node/src/platform/meter.rs
@@ -1,5 +1,6 @@
 //! Counts on the socket whether all of a request has been written: 'it never ran' hangs on that.
 
+use super::send_guard::SendGuard;
 use bytes::Bytes;
 use std::io;
 use std::pin::Pin;
@@ -59,6 +60,8 @@
     pub socket: S,
     /// The count.
     pub meter: Meter,
+    /// Asked before a request's first byte.
+    pub guard: SendGuard,
     /// A request with a body of this length that another process has written already: it is counted and goes no
     /// further, and no answer is read before that.
     pub written: Option<usize>,
@@ -69,7 +72,7 @@
 impl<S> Metered<S> {
     /// A socket of this process.
     pub fn new(socket: S, meter: Meter) -> Metered<S> {
-        Metered { socket, meter, written: None, reader: None }
+        Metered { socket, meter, guard: SendGuard::default(), written: None, reader: None }
     }
 }
 
@@ -92,7 +95,10 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let taken = match self.written {
             Some(_) => bytes.len(),
-            None => std::task::ready!(Pin::new(&mut self.socket).poll_write(cx, bytes))?,
+            None => {
+                self.guard.ask()?;
+                std::task::ready!(Pin::new(&mut self.socket).poll_write(cx, bytes))?
+            }
         };
         let mut whole = false;
         if let Ok(mut written) = self.meter.lock() {
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -12,6 +12,7 @@
 mod pool;
 mod probe;
 mod room;
+mod send_guard;
 mod server;
 pub mod socket;
 mod stock;
@@ -80,6 +81,7 @@
             target: job.target.clone(),
             body: job.body.clone(),
             line: line.clone(),
+            client: job.client.as_ref().map(|client| client.leash.observer()),
             adopted: job.adopted.lock().unwrap_or_else(PoisonError::into_inner).take(),
         };
         tokio::spawn(self.carrier.clone().carry(tag, parcel, worker, until, stopped));
--- a/node/src/platform/moving.rs
+++ b/node/src/platform/moving.rs
@@ -29,6 +29,8 @@
     pub watcher: Watcher,
     /// Told once nothing more is to be done with it here: it has moved, or its client has left.
     pub over: Arc<Notify>,
+    /// It is another process's.
+    pub moved: Arc<AtomicBool>,
 }
 
 /// The core's hold on an attempt.
@@ -172,13 +174,16 @@
     hold: &Hold,
     (moving, client, worker): (Moving, Leash, Leash),
 ) -> Option<Lifted> {
-    let (handle, line, over) = (handle.clone(), hold.line.clone(), job.client.as_ref()?.over.clone());
+    let connection = job.client.as_ref()?;
+    let (handle, line, over) = (handle.clone(), hold.line.clone(), connection.over.clone());
+    let client_moved = connection.moved.clone();
     let leashes = [client, worker];
     let done = {
         let leashes = leashes.clone();
         Box::new(move |taken: bool| {
             if taken {
                 line.moved.store(true, Ordering::Relaxed);
+                client_moved.store(true, Ordering::Relaxed);
                 handle.moved(tag);
                 over.notify_one();
             } else {
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -2,6 +2,7 @@
 
 use super::meter::{Meter, Metered, Written};
 use super::moving::Adopted;
+use super::send_guard::SendGuard;
 use super::socket::{Leash, Socket};
 use crate::counters::Counters;
 use crate::list::Member;
@@ -35,7 +36,7 @@
 pub enum NoConnection {
     /// The worker, or the way there, did not take it.
     NotTaken,
-    /// This node has no descriptor left, or may send nothing there any more: that tells nothing of the worker.
+    /// This node has no descriptor left, or none of its own errors passed in time: that tells nothing of the worker.
     Here,
 }
 
@@ -45,6 +46,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// What the socket has taken of the current one.
     pub meter: Meter,
+    /// Asked before its first byte.
+    pub guard: SendGuard,
     /// The other end.
     pub address: SocketAddr,
     /// A hold on its socket.
@@ -213,11 +216,15 @@
             }
             line.address
         };
-        let connection = self.open(address, times.connect).await?;
-        // Guards a worker that was told to drain while its connection was coming up: what is written now is new to it.
-        let leaves = self.lines().get(&worker).and_then(|l| l.leaves);
-        let grace = times.grace.saturating_sub(STANDSTILL);
-        leaves.is_none_or(|at| at.elapsed() < grace).then_some(connection).ok_or(NoConnection::Here)
+        self.open(address, times.connect).await
+    }
+
+    /// Whether a request may begin at this worker now. Guards one that was told to drain while its connection was coming
+    /// up: what is written now is new to it.
+    pub fn may_begin(&self, worker: WorkerId) -> bool {
+        let grace = self.current().grace.saturating_sub(STANDSTILL);
+        let leaves = self.lines().get(&worker).and_then(|line| line.leaves);
+        leaves.is_none_or(|at| at.elapsed() < grace)
     }
 
     async fn open(&self, address: SocketAddr, limit: Duration) -> Result<Connection, NoConnection> {
@@ -265,7 +272,7 @@
         address: SocketAddr,
         permit: OwnedSemaphorePermit,
     ) -> Option<Connection> {
-        let (meter, leash) = (socket.meter.clone(), socket.socket.leash());
+        let (meter, guard, leash) = (socket.meter.clone(), socket.guard.clone(), socket.socket.leash());
         let io = TokioIo::new(socket);
         let (mut sender, connection) =
             Builder::new().max_buf_size(READ_AHEAD).handshake::<_, Full<Bytes>>(io).await.ok()?;
@@ -278,6 +285,7 @@
         Some(Connection {
             sender,
             meter,
+            guard,
             address,
             leash,
             driver,
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -10,6 +10,7 @@
 use crate::acceptor::{Accepted, Acceptor};
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
+use crate::invariants::Invariant;
 use crate::names::Names;
 use crate::phase::{Phase, Phases};
 use bytes::Bytes;
@@ -173,7 +174,8 @@
     /// Serves a connection to its end. Its first request may be as old as the time that it `waited` to be accepted.
     async fn serve(&self, gate: Gate<Socket>, seat: Seat, adopted: Option<Adopted>, waited: Duration) {
         let (leash, watcher, over) = (gate.socket().leash(), gate.watcher(), Arc::new(Notify::new()));
-        let client = moving::Client { leash, watcher: watcher.clone(), over: over.clone() };
+        let moved = Arc::default();
+        let client = moving::Client { leash, watcher: watcher.clone(), over: over.clone(), moved };
         let visit = Visit {
             watcher,
             seat,
@@ -193,11 +195,14 @@
             // Before the connection is looked at: it must not take a request in and then go.
             answered = makes_way(&visit) => Some(answered),
             ended = connection.as_mut() => return log_end(ended),
-            () = over.notified() => return,
+            () = over.notified() => return log::debug!("closed: its client has left, or it has moved"),
             () = self.sent_away(&visit) => None,
         };
-        if leaves == Some(false) {
-            return; // it was never told anything
+        match leaves {
+            // It was never told anything.
+            Some(false) => return log::debug!("closed: makes way unserved"),
+            Some(true) => log::debug!("closed: makes way"),
+            None => log::debug!("closed: sent away, {:?}", *self.phase.borrow()),
         }
         connection.as_mut().graceful_shutdown();
         let limit = if leaves.is_some() { LEAVE_WAIT } else { Duration::MAX };
@@ -230,6 +235,13 @@
         }
     }
 
+    /// Refuses a request that goes no further.
+    fn refuse(&self, reason: &str) -> Reply {
+        self.counters.turned_away.add();
+        log::debug!("refused: {reason}");
+        refusal(SOON)
+    }
+
     async fn turn_away(&self, socket: Gate<Socket>) {
         let service = service_fn(|request| async move { Ok::<_, Infallible>(self.no_room(request).await) });
         log_end(builder().keep_alive(false).serve_connection(TokioIo::new(socket), service).await);
@@ -238,8 +250,7 @@
     async fn no_room(&self, request: Request<Incoming>) -> Reply {
         // Read so that the close doesn't reset the answer on its way; what is wrong with it is all one here.
         let _ = Limited::new(request.into_body(), BODY_MAX).collect().await;
-        self.counters.turned_away.add();
-        refusal(SOON)
+        self.refuse("no descriptor for its connection")
     }
 
     async fn request(&self, request: Request<Incoming>, visit: &Visit) -> Reply {
@@ -255,6 +266,7 @@
             Ok(reply) => (reply, false),
             Err((status, why)) => {
                 self.counters.turned_away.add();
+                log::debug!(status = status.as_u16(); "turned away: {why}");
                 let mut reply = plain(status, why);
                 if status == StatusCode::METHOD_NOT_ALLOWED {
                     reply.headers_mut().insert(ALLOW, HeaderValue::from_static("POST"));
@@ -307,8 +319,7 @@
         let room = self.stock.bodies.try_acquire_many(most.div_ceil(1024) as u32);
         // A job that runs is never refused for want of room: the process before gives its own up for it.
         if room.is_err() && adopted.is_none() {
-            self.counters.turned_away.add();
-            return Ok(refusal(SOON));
+            return Ok(self.refuse("no memory for its body"));
         }
         let mut fields = fields::request(&head.headers, path, head.uri.query().unwrap_or(""), &names)
             .map_err(|why| (StatusCode::BAD_REQUEST, why))?;
@@ -335,8 +346,7 @@
         if adopted.is_none() {
             fields.left_us = self.time_left(fields.left_us, visit, &names);
             if fields.left_us == 0 {
-                self.counters.turned_away.add();
-                return Ok(refusal(SOON));
+                return Ok(self.refuse("its time is over, or the node's"));
             }
         }
         let (reply, answer) = oneshot::channel();
@@ -351,11 +361,15 @@
             adopted: Mutex::new(adopted),
             reply,
         };
+        let (wire_id, left_us) = (job.id.clone(), fields.left_us);
         let id = match sent {
             Some(sent) => self.handle.adopt(fields, job, sent),
             None => self.handle.accept(fields, job),
         };
-        let mut client = Client { handle: &self.handle, id, waits: true };
+        log::debug!(request = id, id:? = wire_id.value, left_us, adopted = sent.is_some(); "taken");
+        drop(wire_id); // it is open for as long as the job and its attempts are
+        let mut client =
+            Client { handle: &self.handle, id, waits: true, socket: &visit.client, counters: &self.counters };
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
@@ -400,18 +414,26 @@
     }
 }
 
-/// Tells the core when a client goes before its answer: hyper drops the request's future then.
+/// Tells the core when a client goes before its answer: hyper drops the request's future then. The guard of
+/// [`Invariant::Answered`]: whatever ends the connection of a request that was taken drops this.
 struct Client<'a> {
     handle: &'a Handle<Job>,
     id: RequestId,
     waits: bool,
+    socket: &'a moving::Client,
+    counters: &'a Counters,
 }
 
 impl Drop for Client<'_> {
     fn drop(&mut self) {
-        if self.waits {
-            self.handle.left(self.id);
+        if !self.waits {
+            return;
+        }
+        let is_over = self.socket.moved.load(Ordering::Relaxed) || self.socket.leash.has_ended();
+        if !is_over {
+            self.counters.violations.add(Invariant::Answered, self.id);
         }
+        self.handle.left(self.id);
     }
 }
 
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -8,7 +8,7 @@
 use std::io::{self, ErrorKind};
 use std::os::fd::OwnedFd;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -88,6 +88,17 @@
 #[derive(Clone)]
 pub struct Leash(Arc<Inner>);
 
+/// Sees whether a socket's other end is there, and does not keep the socket open.
+#[derive(Clone)]
+pub struct Observer(Weak<Inner>);
+
+impl Observer {
+    /// Whether the other end has closed, half-closed or reset it by now, or this process has.
+    pub fn has_ended(&self) -> bool {
+        self.0.upgrade().is_none_or(|socket| Leash(socket).has_ended())
+    }
+}
+
 impl Socket {
     /// A socket of this process.
     pub fn new(stream: TcpStream) -> Socket {
@@ -191,6 +202,11 @@
         }
     }
 
+    /// For who only looks.
+    pub fn observer(&self) -> Observer {
+        Observer(Arc::downgrade(&self.0))
+    }
+
     /// The socket, for another process.
     pub fn descriptor(&self) -> &TcpStream {
         &self.0.stream
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 /// Between looks at the flags without a wake-up.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// What a signal asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/rig/shim/faults.c
+++ b/rig/shim/faults.c
@@ -12,6 +12,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -51,7 +52,7 @@
     FAULTS
 };
 
-enum parameter { CLOCK_OFFSET_NS, STALL_NS, PARAMETERS };
+enum parameter { CLOCK_OFFSET_NS, STALL_NS, LISTEN_PORT, PARAMETERS };
 
 #define SLOTS 64
 
@@ -118,6 +119,14 @@
     return control != NULL && getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) == 0 && domain == AF_INET;
 }
 
+/* A connection that the process opened; one that it accepted has the port that it listens on. */
+static int is_outgoing(int fd) {
+    struct sockaddr_in own = {0};
+    socklen_t length = sizeof own;
+    if (!is_tcp(fd) || getsockname(fd, (struct sockaddr *)&own, &length) != 0) return 0;
+    return ntohs(own.sin_port) != atomic_load_explicit(&control->parameter[LISTEN_PORT], memory_order_relaxed);
+}
+
 static int is_file(int fd) {
     struct stat st;
     return control != NULL && fstat(fd, &st) == 0 && S_ISREG(st.st_mode);
@@ -135,9 +144,11 @@
     }
     if (fails(RECV_EINTR, EINTR)) return -1;
     if (is_tcp(fd)) {
-        if (fails(RECV_ETIMEDOUT, ETIMEDOUT) || fails(RECV_EHOSTUNREACH, EHOSTUNREACH)) {
-            shutdown(fd, SHUT_RDWR); /* the kernel ends such a connection */
-            errno = ETIMEDOUT;
+        /* The kernel ends such a connection. A client's would be gone, and nobody be owed an answer. */
+        int error = strikes(RECV_ETIMEDOUT) ? ETIMEDOUT : strikes(RECV_EHOSTUNREACH) ? EHOSTUNREACH : 0;
+        if (error != 0 && is_outgoing(fd)) {
+            shutdown(fd, SHUT_RDWR);
+            errno = error;
             return -1;
         }
         if (length > 1 && strikes(RECV_SHORT)) length = 1 + next_random() % (length < 64 ? length : 64);
--- a/rig/src/soak/oracle.rs
+++ b/rig/src/soak/oracle.rs
@@ -86,9 +86,13 @@
     Drained {
         /// The request.
         id: String,
+        /// The node.
+        node: usize,
         /// The worker.
         worker: usize,
-        /// After the change was told.
+        /// When the change counts as told.
+        told: Time,
+        /// How long after that.
         late: Duration,
     },
     /// A worker was told a longer deadline than its client's.
@@ -273,7 +277,8 @@
             let from = told.max(life.and_then(|l| l.ready).unwrap_or_default());
             let late = attempt.first_byte.saturating_sub(from);
             if late > limits.drain_grace + tolerance {
-                violations.push(Violation::Drained { id: id(), worker: attempt.worker, late });
+                let (node, worker) = (request.node, attempt.worker);
+                violations.push(Violation::Drained { id: id(), node, worker, told: from, late });
             }
         }
     }
--- a/rig/src/soak/shim.rs
+++ b/rig/src/soak/shim.rs
@@ -13,11 +13,15 @@
 const SOURCE: &str = include_str!("../../shim/faults.c");
 /// Entries of each of the three arrays in the shared file.
 const SLOTS: u64 = 64;
+/// Where processes under test listen for clients.
+pub const CLIENT_PORT: u16 = 8000;
 const ENTRY: u64 = 8;
 /// The offset of the wall clock, in nanoseconds.
 const CLOCK_OFFSET: u64 = 0;
 /// For which a stalled call holds the process up, in nanoseconds.
 const STALL: u64 = 1;
+/// The port that the process listens on: connections that it accepted have it.
+const LISTEN_PORT: u64 = 2;
 
 macro_rules! faults {
     ($($(#[$doc:meta])* $name:ident,)*) => {
@@ -114,12 +118,13 @@
 }
 
 impl Control {
-    /// A new file: nothing is injected, the clock is right, a stall takes 0.15 s.
+    /// A new file, of a process that listens at [`CLIENT_PORT`]: nothing is injected, the clock is right, a stall takes 0.15 s.
     pub fn create(path: PathBuf) -> io::Result<Control> {
         let file = File::options().create(true).truncate(true).read(true).write(true).open(&path)?;
         file.set_len(3 * SLOTS * ENTRY)?;
         let control = Control { file, path };
         control.set_stall(Duration::from_millis(150))?;
+        control.set_parameter(LISTEN_PORT, i64::from(CLIENT_PORT))?;
         Ok(control)
     }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -425,9 +425,26 @@
     },
 }
 
+/// Why a request is not sent, or not sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// What it shares with other requests fails wherever it goes.
+    Barred,
+    /// It was sent as often as it may be.
+    NoAttemptLeft,
+    /// It may have run, and must not run twice.
+    MayHaveRun,
+    /// The settings' ration of further attempts is used up.
+    Ration,
+    /// It can't be in time any more.
+    TooLate,
+}
+
 /// What on-call staff are told; rare.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Trace {
+    /// A request gets its final answer unserved, for this reason.
+    GaveUp(RequestId, Reason),
     /// A worker gives no sign of life though it owes one; it gets a trickle only.
     Silent(WorkerId),
     /// A worker failed a job; it gets a trickle only.
--- a/src/bin/dewlever-drill/main.rs
+++ b/src/bin/dewlever-drill/main.rs
@@ -200,6 +200,7 @@
         Trace::Erring(w) => format!("worker {} fails jobs: no new jobs but a trickle", name(*w)),
         Trace::Trusted(w) => format!("worker {} is trusted again", name(*w)),
         Trace::Throttled(u, offered) => format!("throttling: {u:.1} jobs/s admitted of {offered:.1} offered"),
+        Trace::GaveUp(id, reason) => format!("request {id} is given up: {reason:?}"),
         Trace::ListFailed => "worker list not to be had: asking again".to_string(),
     }
 }
@@ -223,6 +224,7 @@
             let at = reply.tail(bytes);
             reply.push(7, i, &[&to.to_be_bytes(), &at]);
         }
+        Action::Trace(Trace::GaveUp(..)) => {} // one for each: more than a report holds
         Action::Trace(trace) => {
             let at = reply.tail(words(trace).as_bytes());
             reply.push(8, i, &[&at]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod api;
 #[rustfmt::skip] // short guards stay on one line: the module has a line limit
 pub mod policy;
+pub mod regulator;
 pub mod settings;
 pub mod slow_start;
 pub mod start_time;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,9 +2,10 @@
 //! accepted -> tenant queue -> admitted (rate u, by band) -> waits for a worker with room -> sent -> ended.
 
 use crate::api::*;
+use crate::regulator::Regulator;
 use crate::slow_start::{self, Fleet, Sender, Start, Used};
 use crate::start_time::{local_start, ListHistory};
-use crate::support::{mix, pack, unit, unpack, Agenda, LeastSquares, Recent, Rng};
+use crate::support::{mix, pack, unit, unpack, Agenda, Recent, Rng};
 use crate::weights::Weights;
 use crate::window::Window;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -60,13 +61,6 @@
 const TELL_PRICE: f64 = 0.001; // part of the worth that telling siblings may cost
 const TELL_MAX: u32 = 16; // siblings told in a second at most
 const MUTE: Time = 10 * SECOND; // for which a class stays away from a worker that left it unanswered
-const LAMBDA: f64 = 0.95; // the forgetting factor: about 20 periods
-const PRIOR: [f64; 3] = [0.3, 0.7, 0.0]; // the first model: w = 1 at u_max
-const P_START: f64 = 0.2; // covariance of a new model ...
-const P_MAX: f64 = 10.0; // ... and its bound, where nothing excites
-const MOVED: f64 = 0.3; // the reset law: a parameter that moves by this part, and of at least itself
-const SETTLING: u32 = 3; // periods after a reset without another
-const R1_MIN: f64 = 0.02; // a model must say that more throughput means more latency
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Stage { #[default] Queued, Waiting, Out, Done }
@@ -169,6 +163,7 @@
     stale: f64, // the part of reports that repeat the one just before though our jobs there changed
     taken: Recent, further: Recent, // requests and further attempts, while they count
     probes: f64, probing: u32, peers: BTreeMap<u32, (Time, Vec<f64>)>,
+    overdrafts: u64, // jobs to cold workers beyond this dispatcher's part of their budget: a fault
 }
 
 impl Policy {
@@ -206,6 +201,9 @@
         (0..self.classes.len()).filter(|i| !self.set.retired.contains(i))
     }
 
+    /// Jobs sent to cold workers beyond this dispatcher's part of their budget: none, where all is well.
+    pub fn overdrafts(&self) -> u64 { self.overdrafts }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: &Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -265,7 +263,7 @@
             ..Job::default()
         };
         self.jobs.insert(r.id, job);
-        if self.barred(&job) { return self.give_up(r.id, out); }
+        if self.barred(&job) { return self.give_up(r.id, Reason::Barred, out); }
         self.agenda.add(job.due, Due::Job { id: r.id });
         let t = &mut self.tenants[tenant];
         if worthless || again { return t.repeats.push_back(r.id); }
@@ -358,7 +356,7 @@
         while let Some(&key) = self.waiting.range(from(after)).next().filter(|_| misses < most) {
             after = key;
             if self.jobs[&key.2].sent > 0 && !self.may_try_again(1.0) {
-                self.give_up(key.2, out);
+                self.give_up(key.2, Reason::Ration, out);
                 continue;
             }
             match self.pick(self.jobs[&key.2]).filter(|&w| self.known(w)) {
@@ -529,6 +527,10 @@
     fn send(&mut self, key: Rank, w: usize, out: &mut Vec<Action>) {
         self.waiting.remove(&key);
         let (now, seldom) = (self.now, self.seldom());
+        let is_cold = self.warmth(&self.workers[w]) < 1.0;
+        let may_start = |job| self.may_start_on(&self.workers[w], job);
+        let overdraws = is_cold && !self.jobs.get(&key.2).is_some_and(may_start);
+        self.overdrafts += u64::from(overdraws);
         let Some(job) = self.jobs.get_mut(&key.2) else { return };
         let worker = &mut self.workers[w];
         let doubts = worker.silent || worker.doubt > 0;
@@ -870,8 +872,20 @@
         let once = job.may_run.is_some() && self.set.classes[job.class].semantics == Semantics::Unsafe;
         // Who was turned away unseen can be refused to come back as a new request: lost work goes first.
         let part = if job.may_run.is_none() { 0.5 } else { 1.0 };
-        if !left || once || self.barred(&job) || !self.may_try_again(part) { return self.give_up(id, out); }
-        if self.now >= job.due && !self.may_be_late(id) { return self.give_up(id, out); }
+        let reason = if !left {
+            Some(Reason::NoAttemptLeft)
+        } else if once {
+            Some(Reason::MayHaveRun)
+        } else if self.barred(&job) {
+            Some(Reason::Barred)
+        } else if !self.may_try_again(part) {
+            Some(Reason::Ration)
+        } else if self.now >= job.due && !self.may_be_late(id) {
+            Some(Reason::TooLate)
+        } else {
+            None
+        };
+        if let Some(reason) = reason { return self.give_up(id, reason, out); }
         self.agenda.add(job.due, Due::Job { id });
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Waiting;
@@ -889,7 +903,8 @@
     /// A held job can't be in time any more: it waits on behind those that can, or is refused.
     fn due(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let held = |j: &Job| matches!(j.stage, Stage::Queued | Stage::Waiting) && self.now >= j.due;
-        if self.jobs.get(&id).is_some_and(held) && !self.may_be_late(id) { self.give_up(id, out); }
+        if !self.jobs.get(&id).is_some_and(held) || self.may_be_late(id) { return; }
+        self.give_up(id, Reason::TooLate, out);
     }
 
     fn may_be_late(&mut self, id: RequestId) -> bool {
@@ -904,10 +919,11 @@
         true
     }
 
-    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         if self.jobs.get(&id).is_some_and(|j| j.stage != Stage::Queued) { self.count(id, LATE_W); }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.waiting.remove(&rank(&job, id));
+        out.push(Action::Trace(Trace::GaveUp(id, reason)));
         self.classes[job.class].kept *= 1.0 - KEPT_GAIN;
         let c = &self.set.classes[job.class];
         let any = matches!(c.semantics, Semantics::Safe | Semantics::Keyed(Group::All));
@@ -1085,40 +1101,3 @@
 fn rank(job: &Job, id: RequestId) -> Rank {
     (u8::from(!job.in_share) * 2 + u8::from(job.late), job.due.saturating_sub(job.ahead), id)
 }
-
-/// The self-tuning regulator of one class: w(k) = s1 w(k-1) + r1 u(k-1) + r2 u(k-2), u in parts of u_max.
-pub struct Regulator {
-    model: LeastSquares, w1: f64, u1: f64, u2: f64, settling: u32,
-}
-
-impl Default for Regulator {
-    fn default() -> Self {
-        Regulator { model: LeastSquares::new(PRIOR, P_START), w1: 0.0, u1: 1.0, u2: 1.0, settling: SETTLING }
-    }
-}
-
-impl Regulator {
-    /// Drops the model; u goes to u_max, which excites the next one.
-    pub fn reset(&mut self) -> f64 {
-        *self = Regulator { w1: self.w1, u2: self.u1, ..Regulator::default() };
-        1.0
-    }
-
-    /// The parameters s1, r1, r2.
-    pub fn model(&self) -> [f64; 3] { self.model.theta }
-
-    /// One period: takes its mean w and returns the next u, in [0, 1] of u_max.
-    pub fn step(&mut self, w: f64) -> f64 {
-        let new = self.model.estimate(w, [self.w1, self.u1, self.u2], LAMBDA, P_MAX);
-        self.w1 = w;
-        let old = self.model.theta;
-        let moved = |i: usize| (new[i] - old[i]).abs() > MOVED * old[i].abs().max(MOVED);
-        if self.settling == 0 && (0..3).any(moved) { return self.reset(); }
-        self.settling = self.settling.saturating_sub(1);
-        if new[1] > R1_MIN { self.model.theta = new; }
-        let [s1, r1, r2] = self.model.theta;
-        let u = (1.0 - s1 * w - r2 * self.u1) / r1;
-        (self.u2, self.u1) = (self.u1, if u.is_finite() { u.clamp(0.0, 1.0) } else { 1.0 });
-        self.u1
-    }
-}
