--- a/node/tests/duties.rs
+++ b/node/tests/duties.rs
@@ -9,6 +9,7 @@
 use rig::process::call;
 use rig::relay::Rule;
 use rig::resource::Resource;
+use rig::soak::shim::Fault;
 use rustix::process::Signal;
 use serde_json::Value;
 use std::process::Command;
@@ -34,11 +35,16 @@
 }
 
 async fn stage(nodes: usize, voters: usize) -> Stage {
+    stage_with(nodes, voters, |_| {}).await
+}
+
+async fn stage_with(nodes: usize, voters: usize, prepare: impl Fn(&mut Cluster)) -> Stage {
     let spec = Spec::new(env!("CARGO_BIN_EXE_molevale"), nodes);
     let mut yard = Cluster::prepare(spec).await.unwrap();
     let resource = Resource::start(yard.spare(0)).await.unwrap();
     let errands = vec![("stamp".to_string(), resource.address, 50)];
     yard.spec.duties = Some(Duties { voters, lease_ms: LEASE_MS, lists: false, roll: false, errands });
+    prepare(&mut yard);
     (0..nodes).for_each(|i| yard.start_node(i).unwrap());
     let stage = Stage { yard, resource };
     stage.acts_after(0).await;
@@ -107,6 +113,40 @@
     (out.status.code(), String::from_utf8(out.stdout).unwrap(), String::from_utf8(out.stderr).unwrap())
 }
 
+/// Guards the duties against disks that fail for a while, all at once: a voter that could not write votes again once it
+/// can, and nothing is granted twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn voters_vote_again_once_their_disks_can_be_written() {
+    let _place = place().await;
+    let stage = stage_with(4, 3, |cluster| cluster.with_shims().unwrap()).await;
+    for fault in [Fault::SyncEio, Fault::WriteEnospc] {
+        let (holder, token) = stage.last();
+        let injected = |voter: usize| stage.yard.control(voter).injected(fault).unwrap();
+        (0..3).for_each(|voter| stage.yard.control(voter).set_rate(fault, 1_000_000).unwrap());
+        // The duty is to be granted anew, which has to be written.
+        let at = stage.yard.nodes[holder].as_ref().unwrap().management;
+        assert_eq!(call(at, "POST", "/healthcheck/fail").await.map(|a| a.0), Some(200));
+        stage
+            .until("a majority could not write", async || (0..3).filter(|v| injected(*v) > 0).count() >= 2)
+            .await;
+        sleep(S).await;
+        (0..3).for_each(|voter| stage.yard.control(voter).set_rate(fault, 0).unwrap());
+        stage.acts_after(token).await;
+        call(at, "POST", "/healthcheck/ok").await;
+        stage
+            .until("all vote again", async || {
+                for voter in 0..3 {
+                    if !matches!(stage.standing(voter).await.as_deref(), Some("leading" | "voting")) {
+                        return false;
+                    }
+                }
+                true
+            })
+            .await;
+    }
+    stage.right();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_node_acts_and_hands_on_and_a_holder_that_stood_still_is_refused() {
     let _place = place().await;
--- a/rig/src/cluster.rs
+++ b/rig/src/cluster.rs
@@ -5,6 +5,7 @@
 use crate::discovery::Discovery;
 use crate::process::Process;
 use crate::relay::Relays;
+use crate::soak::shim::{self, Control};
 use crate::wire;
 use crate::worker::{Kind, Worker};
 use fleet::{Status, View};
@@ -110,9 +111,16 @@
     folder: PathBuf,
     block: [u8; 2],
     starts: u16,
+    shims: Option<Shims>,
     _lock: TcpListener,
 }
 
+/// The library that makes system calls of the nodes fail, and what it is to inject into each.
+struct Shims {
+    library: PathBuf,
+    controls: Vec<Control>,
+}
+
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
 impl Cluster {
@@ -149,6 +157,7 @@
             folder,
             block,
             starts: 0,
+            shims: None,
             _lock,
             spec,
         };
@@ -159,6 +168,26 @@
         Ok(cluster)
     }
 
+    /// Has the nodes that are started from here on run with a library that makes their system calls fail.
+    ///
+    /// # Errors
+    /// Where it can't be built.
+    pub fn with_shims(&mut self) -> io::Result<()> {
+        let library = shim::build(&self.folder)?;
+        let control = |i| Control::create(self.folder.join(format!("control-{i}")));
+        let controls = (0..self.spec.nodes).map(control).collect::<io::Result<_>>()?;
+        self.shims = Some(Shims { library, controls });
+        Ok(())
+    }
+
+    /// What is injected into a node's calls.
+    ///
+    /// # Panics
+    /// Where the nodes run without the library.
+    pub fn control(&self, i: usize) -> &Control {
+        &self.shims.as_ref().expect("nodes with the library").controls[i]
+    }
+
     /// The name of a node.
     pub fn name(i: usize) -> String {
         format!("n{i:02}")
@@ -216,7 +245,13 @@
         let file = file.to_string_lossy().into_owned();
         let config = self.config(i, name);
         let arguments: &[&str] = if self.spec.fleet { &["--fleet", &file] } else { &[] };
-        let process = Process::start(&self.spec.binary, &folder, &config, arguments)?;
+        let variables: Vec<(&str, &Path)> = match &self.shims {
+            Some(shims) => {
+                vec![("LD_PRELOAD", &shims.library), ("SOAK_CONTROL", &shims.controls[i].path)]
+            }
+            None => Vec::new(),
+        };
+        let process = Process::start_with(&self.spec.binary, &folder, &config, arguments, &variables)?;
         if let Some(mut old) = self.nodes[i].replace(process) {
             if old.ended().is_none() {
                 self.before.push(old);
