Open a voter's store again after its disk failed, in place of giving the voter up

Cause: Voter::written took a failed write for the end of the voter; ENOSPC or EIO for a second at all voters left the fleet without duties until every process was started anew. Change: the voter is dropped and opened again from what is on the disk, after 1 s and ever longer pauses up to 16 s, as after a crash; a folder that can't be opened for now is tried again too, a damaged or foreign one is not.

--- a/node/src/duties.rs
+++ b/node/src/duties.rs
@@ -31,6 +31,11 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant, MissedTickBehavior};
 
+/// Before a store whose disk failed is opened again, at first ...
+const REOPEN_PAUSE: Duration = Duration::from_secs(1);
+/// ... and after many failures.
+const REOPEN_PAUSE_MAX: Duration = Duration::from_secs(16);
+
 /// Wishes of operators that wait at most.
 const QUEUE: usize = 16;
 /// Nodes that ask for one duty, by a draw that is the same everywhere: with all of them asking, the voters would have more
@@ -191,6 +196,7 @@
         timing,
         voter: None,
         opening: false,
+        reopen: Reopen::default(),
         wrote,
         asked: BTreeMap::new(),
         calls: BTreeMap::new(),
@@ -223,12 +229,33 @@
     out: bool,
 }
 
+/// When a store whose disk failed is opened again.
+struct Reopen {
+    at: Duration,
+    pause: Duration,
+}
+
+impl Default for Reopen {
+    fn default() -> Self {
+        Reopen { at: Duration::MAX, pause: REOPEN_PAUSE }
+    }
+}
+
+impl Reopen {
+    /// Sets the next try: each pause is twice the last.
+    fn plan(&mut self, now: Duration) {
+        self.at = now + self.pause;
+        self.pause = (self.pause * 2).min(REOPEN_PAUSE_MAX);
+    }
+}
+
 struct Task {
     links: Links,
     timing: Timing,
     client: Client,
     voter: Option<(Voter, Arc<Store>)>,
     opening: bool,
+    reopen: Reopen,
     wrote: mpsc::Sender<Done>,
     asked: BTreeMap<u64, Asked>,
     calls: BTreeMap<String, Due>,
@@ -303,7 +330,7 @@
         let calls = self.calls.iter().filter(|(name, c)| !c.out && held(name)).map(|(_, c)| c.next);
         let calls = calls.min().map_or(Duration::MAX, |at| at.max(now + LOOK));
         let lists = self.links.lists.as_ref().map_or(Duration::MAX, Lists::due);
-        self.client.due().min(voter).min(asked).min(calls).min(lists).min(self.roll.due())
+        self.client.due().min(voter).min(asked).min(calls).min(lists).min(self.roll.due()).min(self.reopen.at)
     }
 
     fn tick(&mut self) {
@@ -311,6 +338,10 @@
         if now >= self.client.due() {
             self.client.tick(now);
         }
+        if now >= self.reopen.at {
+            self.reopen.at = Duration::MAX;
+            self.open();
+        }
         if let Some((voter, _)) = &mut self.voter {
             if now >= voter.due() {
                 voter.tick(now);
@@ -446,20 +477,39 @@
                 self.opening = false;
                 let why = match why {
                     Why::InUse => "another process has it".to_string(),
+                    Why::Refused(why) => {
+                        log::warn!(event = "duties_store_refused", why = why;
+                            "duties: the voter's folder can't be opened now: {why}");
+                        return self.reopen.plan(now);
+                    }
                     Why::Bad(why) => why,
                 };
                 log::error!(event = "duties_store_bad", why = why;
                     "duties: this node is no voter: its folder can't be used: {why}");
             }
             Done::Written(number, outcome) => {
+                let failed = outcome.is_err();
                 if let Some((voter, _)) = &mut self.voter {
                     voter.written(now, number, outcome);
                 }
+                if failed {
+                    self.reopen_later(now);
+                } else {
+                    self.reopen.pause = REOPEN_PAUSE;
+                }
             }
             Done::Called(name, token, outcome) => self.called(&name, token, outcome),
         }
     }
 
+    /// Guards the duties against a disk that fails for a while. What was acknowledged is on the disk, whatever became of
+    /// the write that failed; so the voter goes on from what is read back, as after a crash.
+    fn reopen_later(&mut self, now: Duration) {
+        self.act(); // what the voter had to say of it
+        self.voter = None;
+        self.reopen.plan(now);
+    }
+
     fn hear(&mut self, from: SocketAddr, bytes: &[u8]) {
         let now = boottime();
         match postcard::from_bytes::<Talk>(bytes) {
--- a/node/src/duties/disk.rs
+++ b/node/src/duties/disk.rs
@@ -16,6 +16,8 @@
 pub enum Why {
     /// Another process of this node has it still.
     InUse,
+    /// The disk refuses for now: it is full, or fails.
+    Refused(String),
     /// It can't be used at all.
     Bad(String),
 }
@@ -23,15 +25,16 @@
 /// Opens the folder's store, or makes one. Waits for the disk.
 pub fn open(folder: &Path, fleet: &str, name: &str) -> Result<(Store, Disk), Why> {
     let bad = |what: &dyn std::fmt::Display| Why::Bad(format!("{}: {what}", folder.display()));
-    create_dir_all(folder).map_err(|e| bad(&e))?;
+    let refused = |e: &std::io::Error| Why::Refused(format!("{}: {e}", folder.display()));
+    create_dir_all(folder).map_err(|e| refused(&e))?;
     let path = folder.join(FILE);
     let is_new = !path.exists();
     let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path);
-    let file = file.map_err(|e| bad(&e))?;
-    let meta = file.metadata().map_err(|e| bad(&e))?;
+    let file = file.map_err(|e| refused(&e))?;
+    let meta = file.metadata().map_err(|e| refused(&e))?;
     if is_new {
         // A file whose name is not on the disk would be an empty folder at the next start.
-        File::open(folder).and_then(|f| f.sync_all()).map_err(|e| bad(&e))?;
+        File::open(folder).and_then(|f| f.sync_all()).map_err(|e| refused(&e))?;
     }
     let backend = match FileBackend::new(file) {
         Ok(backend) => backend,
@@ -44,6 +47,7 @@
     match Store::open(backend, fleet, name, fastrand::u64(1..), place) {
         Ok(opened) => Ok(opened),
         Err(BadStore::Disk(e)) if e.contains("already open") => Err(Why::InUse),
+        Err(e @ BadStore::Disk(_)) => Err(Why::Refused(format!("{}: {e}", folder.display()))),
         Err(e) => Err(bad(&e)),
     }
 }
