--- a/rig/src/soak/history.rs
+++ b/rig/src/soak/history.rs
@@ -82,7 +82,7 @@
 }
 
 /// One request at a worker.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AttemptRecord {
     /// The request's id.
     pub id: String,
--- /dev/null
+++ b/rig/tests/soak.rs
@@ -0,0 +1,155 @@
+//! The soak's oracle finds each kind of broken rule, and excuses what the protocol excuses.
+
+use rig::soak::history::{
+    AttemptEnd, AttemptRecord, Effect, History, Life, RequestEnd, RequestRecord, Withdrawal,
+};
+use rig::soak::oracle::{judge, Limits};
+use rig::soak::schedule::{draw, Shape, Trouble};
+use std::time::Duration;
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// A request written at 1 s and answered 100 ms later, with a wait of 1 s.
+fn request(effect: Effect) -> RequestRecord {
+    RequestRecord {
+        id: "r".to_string(),
+        node: 0,
+        effect,
+        deadline: ms(1_000),
+        begun: ms(1_000),
+        written: Some(ms(1_000)),
+        kept: false,
+        left: None,
+        end: RequestEnd::Answered { status: 200, genuine: true },
+        ended: Some(ms(1_100)),
+    }
+}
+
+/// Its attempt: 10 ms later, 50 ms long.
+fn attempt(worker: usize, at: u64, end: AttemptEnd) -> AttemptRecord {
+    AttemptRecord {
+        id: "r".to_string(),
+        worker,
+        first_byte: ms(at),
+        whole: Some(ms(at)),
+        told_deadline: Some(0.9),
+        end,
+        ended: Some(ms(at + 50)),
+        late_read: false,
+    }
+}
+
+fn life() -> Life {
+    let (started, ready) = (ms(0), Some(ms(300)));
+    Life { node: 0, started, ready, terminated: None, ended: None, killed: false, code: None }
+}
+
+fn history(request: RequestRecord, attempts: Vec<AttemptRecord>) -> History {
+    History { requests: vec![request], attempts, lives: vec![life()], ..History::default() }
+}
+
+/// The rules that the oracle finds broken.
+fn broken(history: &History) -> Vec<&'static str> {
+    judge(history, &Limits::default()).iter().map(|violation| violation.rule()).collect()
+}
+
+fn served() -> History {
+    history(request(Effect::Safe), vec![attempt(1, 1_010, AttemptEnd::Concluded)])
+}
+
+#[test]
+fn a_request_that_is_served_breaks_nothing() {
+    assert_eq!(broken(&served()), Vec::<&str>::new());
+}
+
+#[test]
+fn requests_without_their_answer_are_lost() {
+    for end in [RequestEnd::Open, RequestEnd::Unanswered, RequestEnd::Broken] {
+        let lost = History { requests: vec![RequestRecord { end, ..request(Effect::Safe) }], ..served() };
+        assert_eq!(broken(&lost), ["lost"], "{end:?}");
+    }
+    let late = RequestRecord { ended: Some(ms(2_600)), ..request(Effect::Safe) };
+    assert_eq!(broken(&History { requests: vec![late], ..served() }), ["lost"]);
+    let forged = RequestEnd::Answered { status: 200, genuine: false };
+    let forged = RequestRecord { end: forged, ..request(Effect::Safe) };
+    assert_eq!(broken(&History { requests: vec![forged], ..served() }), ["lost"]);
+}
+
+#[test]
+fn what_the_protocol_excuses_is_not_lost() {
+    let crossed = RequestRecord { kept: true, end: RequestEnd::Crossed, ..request(Effect::Safe) };
+    assert_eq!(broken(&history(crossed, vec![])), Vec::<&str>::new());
+    let killed = Life { ended: Some(ms(1_050)), killed: true, ..life() };
+    let cut = RequestRecord { end: RequestEnd::Broken, ended: Some(ms(1_051)), ..request(Effect::Safe) };
+    let cut = History { lives: vec![killed], ..history(cut, vec![]) };
+    assert_eq!(broken(&cut), Vec::<&str>::new());
+    // It came more than 0.7 s after SIGTERM: SIGKILL is no excuse.
+    let told = Life { terminated: Some(ms(200)), ..cut.lives[0] };
+    assert_eq!(broken(&History { lives: vec![told], ..cut }), ["lost"]);
+}
+
+#[test]
+fn a_second_attempt_is_found_where_it_is_barred() {
+    let twice = |effect, first, at| {
+        let attempts = vec![attempt(1, 1_010, first), attempt(2, at, AttemptEnd::Concluded)];
+        broken(&history(request(effect), attempts))
+    };
+    assert_eq!(twice(Effect::Safe, AttemptEnd::Broken, 1_015), ["duplicate"], "the first is still out");
+    assert_eq!(twice(Effect::Safe, AttemptEnd::Broken, 1_200), Vec::<&str>::new());
+    assert_eq!(twice(Effect::Unsafe, AttemptEnd::Broken, 1_200), ["duplicate"]);
+    assert_eq!(twice(Effect::Unsafe, AttemptEnd::NotRun, 1_200), Vec::<&str>::new());
+    assert_eq!(twice(Effect::Keyed, AttemptEnd::GivenUp, 1_200), Vec::<&str>::new());
+    let long = RequestRecord { deadline: ms(20_000), ..request(Effect::Keyed) };
+    let attempts = vec![attempt(1, 1_010, AttemptEnd::Broken), attempt(2, 9_000, AttemptEnd::Concluded)];
+    assert_eq!(broken(&history(long, attempts)), ["duplicate"], "the key's window is over");
+}
+
+#[test]
+fn an_attempt_that_begins_too_late_is_found() {
+    let left = RequestRecord { left: Some(ms(1_000)), end: RequestEnd::Open, ..request(Effect::Safe) };
+    let late = |at| broken(&history(left.clone(), vec![attempt(1, at, AttemptEnd::GivenUp)]));
+    assert_eq!(late(1_090), Vec::<&str>::new());
+    assert_eq!(late(1_200), ["lost"]);
+    let drained = |told| {
+        let withdrawals = vec![Withdrawal { node: 0, worker: 1, told: ms(told) }];
+        broken(&History { withdrawals, ..served() })
+    };
+    assert_eq!(drained(600), Vec::<&str>::new());
+    assert_eq!(drained(310), ["drain"]);
+    let told = AttemptRecord { told_deadline: Some(1.25), ..attempt(1, 1_010, AttemptEnd::Concluded) };
+    assert_eq!(broken(&history(request(Effect::Safe), vec![told])), ["deadline"]);
+}
+
+#[test]
+fn a_process_that_ends_by_itself_or_is_not_ready_is_found() {
+    let with = |life| broken(&History { lives: vec![life], ..served() });
+    assert_eq!(with(Life { ended: Some(ms(5_000)), code: Some(0), ..life() }), ["crash"]);
+    let told = Life { terminated: Some(ms(4_000)), ended: Some(ms(5_000)), code: Some(0), ..life() };
+    assert_eq!(with(told), Vec::<&str>::new());
+    assert_eq!(with(Life { code: Some(101), ..told }), ["crash"]);
+    assert_eq!(with(Life { ready: Some(ms(10_100)), ..life() }), ["ready"]);
+    let overload = History { overloads: vec![(3, 40.0, 30.0)], ..served() };
+    assert_eq!(broken(&overload), ["failback"]);
+    let ignored = History { ignored: vec![(0, ms(3_600))], ..served() };
+    assert_eq!(broken(&ignored), ["ignored"]);
+}
+
+/// A seed's troubles are the same in each run, begin after the quiet time, and are of all kinds.
+#[test]
+fn a_seed_fixes_its_troubles() {
+    let span = ms(400_000);
+    let shape = Shape { nodes: 12, workers: 8, span, quiet: ms(65_000), per_second: 3.0 };
+    let planned = draw(&shape, 7);
+    assert_eq!(planned, draw(&shape, 7));
+    assert_ne!(planned, draw(&shape, 8));
+    assert!(planned.iter().all(|planned| planned.at >= shape.quiet && planned.at <= span));
+    let any = |is: fn(&Trouble) -> bool| planned.iter().any(|planned| is(&planned.trouble));
+    assert!(any(|t| matches!(t, Trouble::Calls { .. })));
+    assert!(any(|t| matches!(t, Trouble::ClockStep { .. })));
+    assert!(any(|t| matches!(t, Trouble::Restart { .. })));
+    assert!(any(|t| matches!(t, Trouble::Upgrade { .. })));
+    assert!(any(|t| matches!(t, Trouble::Reload { .. })));
+    assert!(any(|t| matches!(t, Trouble::Discovery { .. })));
+}
