--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -168,3 +168,74 @@
     assert!(listen(address, false).is_err());
     assert!(listen(address, true).is_ok());
 }
+
+/// The link to the old process, as the next one has it: a byte with descriptors, or a line.
+struct Link(tokio::net::UnixStream);
+
+impl Link {
+    async fn byte(&self) {
+        use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvFlags};
+        let receive = || {
+            let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let mut byte = [0];
+            let mut parts = [std::io::IoSliceMut::new(&mut byte)];
+            Ok(recvmsg(&self.0, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC).map(drop)?)
+        };
+        self.0.async_io(tokio::io::Interest::READABLE, receive).await.unwrap();
+    }
+
+    async fn line(&mut self) -> String {
+        use tokio::io::AsyncReadExt;
+        let mut line = Vec::new();
+        while line.last() != Some(&b'\n') {
+            line.push(self.0.read_u8().await.unwrap());
+        }
+        String::from_utf8(line).unwrap()
+    }
+
+    async fn say(&mut self, word: &str) {
+        use tokio::io::AsyncWriteExt;
+        self.0.write_all(word.as_bytes()).await.unwrap();
+    }
+}
+
+/// Jobs go over one after the other: what is told of a client's wait is what is left of it when its job goes, not when the
+/// first one did.
+#[tokio::test(start_paused = true)]
+async fn the_time_that_the_hand_over_takes_is_gone_from_each_jobs_wait() {
+    let place = place("late");
+    let (worker, old) = old_node(&place).await;
+    let mut clients = Vec::new();
+    let mut seen = Vec::new();
+    for n in 0..2 {
+        let mut client = Client::connect(&old).await;
+        client.tell(&request("check", &format!("9b1f03aa5c7e2d4{n}"), 60.0, "")).await;
+        let mut came = worker.take().await;
+        came.begin().await;
+        clients.push(client);
+        seen.push(came);
+    }
+    while old.counters.word.get() < 2 {
+        yield_now().await;
+    }
+    let mut link = Link(tokio::net::UnixStream::connect(&place).await.unwrap());
+    link.byte().await;
+    link.line().await;
+    link.say("serving\n").await;
+    link.line().await;
+    link.say("ready\n").await;
+    let left = |text: &str| {
+        let job: serde_json::Value = serde_json::from_str(text).unwrap();
+        let nanos = job["left"]["nanos"].as_u64().unwrap();
+        Duration::new(job["left"]["secs"].as_u64().unwrap(), nanos as u32)
+    };
+    link.byte().await;
+    let first = left(&link.line().await);
+    advance(Duration::from_millis(600)).await;
+    link.say("no\n").await;
+    link.byte().await;
+    let second = left(&link.line().await);
+    assert!(second <= Duration::from_millis(59_400), "{first:?} left, then {second:?} after 0.6 s");
+    link.say("no\n").await;
+}
