Tell a job's remaining wait as of the moment in which it goes over

Cause: Moving::lift wrote down all running jobs' times at once, and the jobs go one after the other, each with up to a second for its answer; the later ones told the next process, and so further workers, more than their clients had left. Found by mapping 'the deadline passed on' to the hand-over.

--- a/node/src/platform/moving.rs
+++ b/node/src/platform/moving.rs
@@ -120,6 +120,15 @@
         Some((moving, client.leash.clone(), leash))
     }
 
+    /// The same, this much later.
+    fn after(mut self, span: Duration) -> Moving {
+        self.left = self.left.saturating_sub(span);
+        let (_, _, sent, started) = &mut self.worker;
+        *sent += span;
+        *started = started.map(|ago| ago + span);
+        self
+    }
+
     /// The request as its client might have written it now.
     pub fn request(&self) -> Vec<u8> {
         let mut head = format!("POST {} HTTP/1.1\r\nX-Request-Id: {}\r\n", self.target, self.id);
@@ -191,5 +200,8 @@
             }
         })
     };
-    Some(Lifted { text: serde_json::to_string(&moving).ok()?, sockets: leashes, done })
+    // Guards the client's wait, and what further workers are told of it: jobs go one after the other.
+    let (taken_up, moving) = (Instant::now(), moving);
+    let text = Box::new(move || serde_json::to_string(&moving.after(taken_up.elapsed())).ok());
+    Some(Lifted { text, sockets: leashes, done })
 }
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -56,8 +56,8 @@
 
 /// A running job that was taken up: it moves, or it is let go and goes on here.
 pub struct Lifted {
-    /// What goes with its sockets.
-    pub text: String,
+    /// What goes with its sockets, as of the moment in which it goes; `None` where that can't be told.
+    pub text: Box<dyn FnOnce() -> Option<String> + Send>,
     /// Its client's and its worker's.
     pub sockets: [Leash; 2],
     /// Whether the other process has it.
@@ -290,10 +290,14 @@
     let (mut moved, mut result) = (0, Ok(()));
     for job in jobs.by_ref() {
         let sockets = [job.sockets[0].descriptor().as_fd(), job.sockets[1].descriptor().as_fd()];
+        let Some(text) = (job.text)() else {
+            (job.done)(false);
+            continue;
+        };
         let exchange = async {
             let own = link.get_ref();
             own.async_io(Interest::WRITABLE, || send(own, &sockets)).await?;
-            link.get_mut().write_all(format!("{}\n", job.text).as_bytes()).await?;
+            link.get_mut().write_all(format!("{text}\n").as_bytes()).await?;
             line(link).await
         };
         let answer = timeout(ANSWER_WAIT, exchange).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
