Name the platform front's modules by the field's terms

gate, room, stock, meter, moving and open; Leash is SocketHandle. No behaviour changes. The soak draws upgrades whose new process is killed.

--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt at a worker, from its connection to its one outcome.
 
 use super::fields::{self, News};
-use super::moving::{Adopted, Line};
-use super::open::Id;
+use super::in_flight_ids::Id;
+use super::job_handover::{Adopted, Line};
 use super::pool::{Connection, NoConnection, Pool};
 use super::send_guard::Barred;
 use super::socket::Observer;
@@ -138,7 +138,7 @@
         if !again {
             self.guard(connection, parcel, worker, until);
         }
-        let link = (connection.leash.clone(), connection.meter.clone(), connection.address);
+        let link = (connection.socket_handle.clone(), connection.meter.clone(), connection.address);
         *parcel.line.link.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
         let request = parcel.request(connection, until);
         let soon = connection.job_ended.is_some_and(|at| at.elapsed() < ECHO);
--- a/node/src/platform/room.rs
+++ b/node/src/platform/connection_slots.rs
@@ -1,6 +1,6 @@
 //! The descriptors for clients: who has one, and who gives one up where there is none left.
 
-use super::gate::{Quiet, Watcher};
+use super::framing::{Quiet, Watcher};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -139,7 +139,7 @@
 impl Room {
     /// So many places at once, with a request at work at each.
     pub fn at_work_now(self: &Arc<Room>, n: usize) -> Vec<Seat> {
-        let watcher = super::gate::Gate::new(()).watcher();
+        let watcher = super::framing::Gate::new(()).watcher();
         let seat = |_| self.place(&watcher, self.permits.clone().try_acquire_owned().unwrap());
         let seats: Vec<Seat> = (0..n).map(seat).collect();
         seats.iter().for_each(Seat::work);
--- a/node/src/platform/moving.rs
+++ b/node/src/platform/job_handover.rs
@@ -1,9 +1,9 @@
 //! Jobs that run while another process takes the node's place go on there: their client's and their worker's socket
 //! with what either has said so far, which the new process plays back into connections of its own.
 
-use super::gate::Watcher;
-use super::meter::Meter;
-use super::socket::Leash;
+use super::counted_writes::Meter;
+use super::framing::Watcher;
+use super::socket::SocketHandle;
 use super::Job;
 use crate::dispatcher::{Handle, Sent};
 use crate::names::Names;
@@ -24,7 +24,7 @@
 #[derive(Clone)]
 pub struct Client {
     /// Its socket.
-    pub leash: Leash,
+    pub socket_handle: SocketHandle,
     /// Where its messages end.
     pub watcher: Watcher,
     /// Told once nothing more is to be done with it here: it has moved, or its client has left.
@@ -45,7 +45,7 @@
 #[derive(Default)]
 pub struct Line {
     /// The socket, what has passed over it, and where it leads.
-    pub link: Mutex<Option<(Leash, Meter, SocketAddr)>>,
+    pub link: Mutex<Option<(SocketHandle, Meter, SocketAddr)>>,
     /// It is another process's: its end is not this one's to report.
     pub moved: AtomicBool,
     /// Its client has left: what is not on its way need not go.
@@ -87,12 +87,17 @@
 
 impl Moving {
     /// Freezes a running job and takes it up, if all of it can move.
-    pub fn lift(sent: &Sent, job: &Job, hold: &Hold, names: &Names) -> Option<(Moving, Leash, Leash)> {
+    pub fn lift(
+        sent: &Sent,
+        job: &Job,
+        hold: &Hold,
+        names: &Names,
+    ) -> Option<(Moving, SocketHandle, SocketHandle)> {
         let client = job.client.as_ref()?;
         let link = hold.line.link.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let (leash, meter, address) = link?;
+        let (socket_handle, meter, address) = link?;
         let said = meter.lock().ok().filter(|m| m.whole(job.body.len())).and_then(|m| m.said())?;
-        if !client.watcher.settled() || !client.leash.is_played() || !leash.is_played() {
+        if !client.watcher.settled() || !client.socket_handle.is_played() || !socket_handle.is_played() {
             return None;
         }
         let text = |value: &hyper::header::HeaderValue| value.to_str().ok().map(String::from);
@@ -115,9 +120,9 @@
             worker: (sent.worker.0, address, sent.at.elapsed(), sent.started.map(|at| at.elapsed())),
             said,
         };
-        client.leash.freeze();
-        leash.freeze();
-        Some((moving, client.leash.clone(), leash))
+        client.socket_handle.freeze();
+        socket_handle.freeze();
+        Some((moving, client.socket_handle.clone(), socket_handle))
     }
 
     /// The same, this much later.
@@ -181,14 +186,14 @@
     tag: crate::dispatcher::Tag,
     job: &Job,
     hold: &Hold,
-    (moving, client, worker): (Moving, Leash, Leash),
+    (moving, client, worker): (Moving, SocketHandle, SocketHandle),
 ) -> Option<Lifted> {
     let connection = job.client.as_ref()?;
     let (handle, line, over) = (handle.clone(), hold.line.clone(), connection.over.clone());
     let client_moved = connection.moved.clone();
-    let leashes = [client, worker];
+    let socket_handles = [client, worker];
     let done = {
-        let leashes = leashes.clone();
+        let socket_handles = socket_handles.clone();
         Box::new(move |taken: bool| {
             if taken {
                 line.moved.store(true, Ordering::Relaxed);
@@ -196,12 +201,12 @@
                 handle.moved(tag);
                 over.notify_one();
             } else {
-                leashes.iter().for_each(Leash::thaw);
+                socket_handles.iter().for_each(SocketHandle::thaw);
             }
         })
     };
     // Guards the client's wait, and what further workers are told of it: jobs go one after the other.
     let (taken_up, moving) = (Instant::now(), moving);
     let text = Box::new(move || serde_json::to_string(&moving.after(taken_up.elapsed())).ok());
-    Some(Lifted { text, sockets: leashes, done })
+    Some(Lifted { text, sockets: socket_handles, done })
 }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -2,20 +2,20 @@
 //! decisions out and makes none.
 
 mod attempt;
+mod connection_slots;
+mod counted_writes;
 pub mod fields;
 mod follow;
-mod gate;
-mod meter;
-mod moving;
-mod open;
+mod framing;
+mod in_flight_ids;
+mod job_handover;
 mod peers;
 mod pool;
 mod probe;
-mod room;
+mod resource_budget;
 mod send_guard;
 mod server;
 pub mod socket;
-mod stock;
 
 pub use follow::Shared;
 pub use server::listen;
@@ -34,28 +34,28 @@
 use dewlever::api::{Outcome, Request, Settings, WorkerId};
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
-use moving::{Adopted, Hold, Line, Moving};
+use job_handover::{Adopted, Hold, Line, Moving};
 use peers::Datagrams;
+use resource_budget::Stock;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
-use stock::Stock;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 /// A request as it goes on to workers, and the way back to its client.
 pub struct Job {
-    id: Arc<open::Id>,
+    id: Arc<in_flight_ids::Id>,
     key: Option<HeaderValue>,
     target: PathAndQuery,
     body: Bytes,
     /// What the decisions need of it.
     fields: Request,
     /// Its connection.
-    client: Option<moving::Client>,
+    client: Option<job_handover::Client>,
     /// An attempt that another process made, until it goes on here.
     adopted: Mutex<Option<Adopted>>,
     reply: oneshot::Sender<Answer>,
@@ -81,7 +81,7 @@
             target: job.target.clone(),
             body: job.body.clone(),
             line: line.clone(),
-            client: job.client.as_ref().map(|client| client.leash.observer()),
+            client: job.client.as_ref().map(|client| client.socket_handle.observer()),
             adopted: job.adopted.lock().unwrap_or_else(PoisonError::into_inner).take(),
         };
         tokio::spawn(self.carrier.clone().carry(tag, parcel, worker, until, stopped));
@@ -89,7 +89,7 @@
     }
 
     fn is_awaited(&self, job: &Job) -> bool {
-        job.client.as_ref().is_none_or(|client| !client.leash.has_ended())
+        job.client.as_ref().is_none_or(|client| !client.socket_handle.has_ended())
     }
 
     fn stop(&mut self, attempt: Self::Attempt, why: Outcome) {
@@ -103,7 +103,8 @@
 
     fn lift(&mut self, tag: Tag, sent: &Sent, job: &Job, hold: &Hold) {
         let moving = Moving::lift(sent, job, hold, &self.carrier.names.borrow());
-        let lifted = moving.and_then(|moving| moving::lifted(&self.carrier.handle, tag, job, hold, moving));
+        let lifted =
+            moving.and_then(|moving| job_handover::lifted(&self.carrier.handle, tag, job, hold, moving));
         self.lifted.lock().unwrap_or_else(PoisonError::into_inner).extend(lifted);
     }
 
--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -1,9 +1,9 @@
 //! Connections to workers: one request at a time on each, idle ones kept for a while.
 
-use super::meter::{Meter, Metered, Written};
-use super::moving::Adopted;
+use super::counted_writes::{Meter, Metered, Written};
+use super::job_handover::Adopted;
 use super::send_guard::SendGuard;
-use super::socket::{Leash, Socket};
+use super::socket::{Socket, SocketHandle};
 use crate::counters::Counters;
 use crate::list::Member;
 use crate::names::Names;
@@ -51,7 +51,7 @@
     /// The other end.
     pub address: SocketAddr,
     /// A hold on its socket.
-    pub leash: Leash,
+    pub socket_handle: SocketHandle,
     driver: JoinHandle<()>,
     /// Whether it has served before.
     pub kept: bool,
@@ -207,7 +207,7 @@
                 let young = connection.idle_since.elapsed() < times.keep;
                 // Guards the next request against what its worker has just said or done here and nobody has read: a second
                 // answer would be taken for this one's, and a close for a break under it.
-                if young && connection.sender.is_ready() && connection.leash.is_quiet() {
+                if young && connection.sender.is_ready() && connection.socket_handle.is_quiet() {
                     if let Ok(mut written) = connection.meter.lock() {
                         *written = Written::default();
                     }
@@ -272,7 +272,8 @@
         address: SocketAddr,
         permit: OwnedSemaphorePermit,
     ) -> Option<Connection> {
-        let (meter, guard, leash) = (socket.meter.clone(), socket.guard.clone(), socket.socket.leash());
+        let (meter, guard, socket_handle) =
+            (socket.meter.clone(), socket.guard.clone(), socket.socket.socket_handle());
         let io = TokioIo::new(socket);
         let (mut sender, connection) =
             Builder::new().max_buf_size(READ_AHEAD).handshake::<_, Full<Bytes>>(io).await.ok()?;
@@ -287,7 +288,7 @@
             meter,
             guard,
             address,
-            leash,
+            socket_handle,
             driver,
             kept: false,
             job_ended: None,
--- a/node/src/platform/stock.rs
+++ b/node/src/platform/resource_budget.rs
@@ -1,9 +1,9 @@
 //! What the front may hold: descriptors of clients and workers, memory for bodies, and the ids and the list that
 //! go to the process that takes its place. While two processes are one node, both share what `limits` allows.
 
-use super::open::Ids;
+use super::connection_slots::Room;
+use super::in_flight_ids::Ids;
 use super::pool::Pool;
-use super::room::Room;
 use super::Job;
 use crate::config::Limits;
 use crate::counters::{Counters, Holdings};
--- a/node/src/platform/server.rs
+++ b/node/src/platform/server.rs
@@ -1,12 +1,12 @@
 //! The clients' side: connections, requests in, one final answer out for each.
 
-use super::gate::{Framing, Gate, Watcher};
-use super::moving::{Adopted, Moving};
-use super::open::Id;
-use super::room::Seat;
+use super::connection_slots::Seat;
+use super::framing::{Framing, Gate, Watcher};
+use super::in_flight_ids::Id;
+use super::job_handover::{Adopted, Moving};
+use super::resource_budget::Stock;
 use super::socket::Socket;
-use super::stock::Stock;
-use super::{fields, moving, Job};
+use super::{fields, job_handover, Job};
 use crate::acceptor::{Accepted, Acceptor};
 use crate::counters::Counters;
 use crate::dispatcher::{Answer, Handle};
@@ -173,9 +173,11 @@
 
     /// Serves a connection to its end. Its first request may be as old as the time that it `waited` to be accepted.
     async fn serve(&self, gate: Gate<Socket>, seat: Seat, adopted: Option<Adopted>, waited: Duration) {
-        let (leash, watcher, over) = (gate.socket().leash(), gate.watcher(), Arc::new(Notify::new()));
+        let (socket_handle, watcher, over) =
+            (gate.socket().socket_handle(), gate.watcher(), Arc::new(Notify::new()));
         let moved = Arc::default();
-        let client = moving::Client { leash, watcher: watcher.clone(), over: over.clone(), moved };
+        let client =
+            job_handover::Client { socket_handle, watcher: watcher.clone(), over: over.clone(), moved };
         let visit = Visit {
             watcher,
             seat,
@@ -375,7 +377,7 @@
             answer = answer => answer,
             // Guards workers against jobs that nobody waits for. The HTTP library sees a client's leaving only where
             // nothing lies unread behind the request.
-            () = visit.client.leash.ended() => {
+            () = visit.client.socket_handle.ended() => {
                 visit.client.over.notify_one();
                 return std::future::pending().await; // dropped with the connection, which tells the core
             }
@@ -395,7 +397,7 @@
     watcher: Watcher,
     seat: Seat,
     requests: AtomicU64,
-    client: moving::Client,
+    client: job_handover::Client,
     /// An attempt of another process, for the first request.
     adopted: Mutex<Option<Adopted>>,
     /// The time for which the first request may have lain in the backlog.
@@ -407,7 +409,7 @@
 async fn makes_way(visit: &Visit) -> bool {
     loop {
         let answered = visit.seat.make_way().await;
-        if !visit.client.leash.has_unread() {
+        if !visit.client.socket_handle.has_unread() {
             return answered;
         }
         visit.seat.pass_on();
@@ -420,7 +422,7 @@
     handle: &'a Handle<Job>,
     id: RequestId,
     waits: bool,
-    socket: &'a moving::Client,
+    socket: &'a job_handover::Client,
     counters: &'a Counters,
 }
 
@@ -429,7 +431,7 @@
         if !self.waits {
             return;
         }
-        let is_over = self.socket.moved.load(Ordering::Relaxed) || self.socket.leash.has_ended();
+        let is_over = self.socket.moved.load(Ordering::Relaxed) || self.socket.socket_handle.has_ended();
         if !is_over {
             self.counters.violations.add(Invariant::Answered, self.id);
         }
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -86,7 +86,7 @@
 
 /// A hold on a socket that something else reads and writes.
 #[derive(Clone)]
-pub struct Leash(Arc<Inner>);
+pub struct SocketHandle(Arc<Inner>);
 
 /// Sees whether a socket's other end is there, and does not keep the socket open.
 #[derive(Clone)]
@@ -95,7 +95,7 @@
 impl Observer {
     /// Whether the other end has closed, half-closed or reset it by now, or this process has.
     pub fn has_ended(&self) -> bool {
-        self.0.upgrade().is_none_or(|socket| Leash(socket).has_ended())
+        self.0.upgrade().is_none_or(|socket| SocketHandle(socket).has_ended())
     }
 }
 
@@ -114,8 +114,8 @@
     }
 
     /// A hold on it.
-    pub fn leash(&self) -> Leash {
-        Leash(self.0.clone())
+    pub fn socket_handle(&self) -> SocketHandle {
+        SocketHandle(self.0.clone())
     }
 }
 
@@ -125,7 +125,7 @@
     }
 }
 
-impl Leash {
+impl SocketHandle {
     /// From here on nothing is read or written until it thaws.
     pub fn freeze(&self) {
         self.0.state().frozen = true;
@@ -295,9 +295,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let mut socket = Socket::new(listener.accept().await.unwrap().0);
-        let leash = socket.leash();
+        let socket_handle = socket.socket_handle();
         let mut four = [0; 4];
-        leash.freeze();
+        socket_handle.freeze();
         peer.write_all(b"ping").await.unwrap();
         let hour = Duration::from_secs(3600);
         assert!(timeout(hour, socket.read_exact(&mut four)).await.is_err());
@@ -309,7 +309,7 @@
             four
         });
         tokio::task::yield_now().await;
-        leash.thaw();
+        socket_handle.thaw();
         assert_eq!(&reads.await.unwrap(), b"ping");
         peer.read_exact(&mut four).await.unwrap();
         assert_eq!(&four, b"pong");
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -4,7 +4,7 @@
 
 use crate::list::ListBody;
 use crate::phase::Phases;
-use crate::platform::socket::Leash;
+use crate::platform::socket::SocketHandle;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -59,7 +59,7 @@
     /// What goes with its sockets, as of the moment in which it goes; `None` where that can't be told.
     pub text: Box<dyn FnOnce() -> Option<String> + Send>,
     /// Its client's and its worker's.
-    pub sockets: [Leash; 2],
+    pub sockets: [SocketHandle; 2],
     /// Whether the other process has it.
     pub done: Box<dyn FnOnce(bool) + Send>,
 }
--- a/rig/src/soak/driver.rs
+++ b/rig/src/soak/driver.rs
@@ -147,6 +147,7 @@
     Remove(usize),
     Reload { node: usize, moves_discovery: bool },
     CloseDoor(usize),
+    KillSuccessor { node: usize, life: usize },
 }
 
 struct Driver {
@@ -394,6 +395,7 @@
             Due::Withdraw(worker) => self.withdraw(worker, now),
             Due::Remove(worker) => self.workers[worker].stand_in = None,
             Due::Reload { node, moves_discovery } => self.reload(node, moves_discovery, now)?,
+            Due::KillSuccessor { node, life } => self.kill_successor(node, life),
             Due::CloseDoor(node) => self.targets[node].accepts.store(false, Ordering::Relaxed),
         }
         Ok(())
@@ -427,6 +429,11 @@
             }
             Trouble::Kill { node } if self.is_steady(node) => self.nodes[node].kill_at = Some(now),
             Trouble::Upgrade { node } if self.is_steady(node) => self.start_node(node)?,
+            Trouble::FailedUpgrade { node, after } if self.is_steady(node) => {
+                self.start_node(node)?;
+                let life = self.nodes[node].life;
+                self.later(now + after, Due::KillSuccessor { node, life });
+            }
             Trouble::Reload { node, moves_discovery, times } => {
                 for n in 0..times {
                     let at = now + Duration::from_millis(40) * n as u32;
@@ -448,7 +455,10 @@
                 self.later(end, Due::EndDiscovery(node));
             }
             // The node is on its way to its end, or has just started.
-            Trouble::Restart { .. } | Trouble::Kill { .. } | Trouble::Upgrade { .. } => {}
+            Trouble::Restart { .. }
+            | Trouble::Kill { .. }
+            | Trouble::Upgrade { .. }
+            | Trouble::FailedUpgrade { .. } => {}
         }
         Ok(())
     }
@@ -460,6 +470,19 @@
         ready && node.process.is_some() && node.before.is_empty() && node.kill_at.is_none()
     }
 
+    /// Kills a process that takes over; the one before serves on, unless it was told to end by then.
+    fn kill_successor(&mut self, i: usize, life: usize) {
+        let node = &mut self.nodes[i];
+        let serves_on = node.before.last().is_some_and(|(_, _, kill_at)| *kill_at == Time::MAX);
+        if node.life != life || !serves_on {
+            return;
+        }
+        if let (Some(mut successor), Some((before, old, _))) = (node.process.take(), node.before.pop()) {
+            kill(&self.recorder, &mut successor, life);
+            (node.process, node.life) = (Some(before), old);
+        }
+    }
+
     fn signal(&mut self, node: usize, signal: Signal) {
         if let Some(process) = &mut self.nodes[node].process {
             process.signal(signal);
--- a/rig/src/soak/schedule.rs
+++ b/rig/src/soak/schedule.rs
@@ -62,6 +62,13 @@
         /// The node.
         node: usize,
     },
+    /// A node's next process is killed while it takes over.
+    FailedUpgrade {
+        /// The node.
+        node: usize,
+        /// After its start.
+        after: Duration,
+    },
     /// A node reads new settings, so many times in a row.
     Reload {
         /// The node.
@@ -138,7 +145,8 @@
         38..43 => Trouble::Pause { node, span: ms(random.random_range(20..150)) },
         43..50 => Trouble::Restart { node },
         50..53 => Trouble::Kill { node },
-        53..58 => Trouble::Upgrade { node },
+        53..56 => Trouble::Upgrade { node },
+        56..58 => Trouble::FailedUpgrade { node, after: ms(random.random_range(1..120)) },
         58..66 => Trouble::Reload {
             node,
             moves_discovery: random.random_bool(0.5),
--- a/rig/tests/soak.rs
+++ b/rig/tests/soak.rs
@@ -150,6 +150,7 @@
     assert!(any(|t| matches!(t, Trouble::ClockStep { .. })));
     assert!(any(|t| matches!(t, Trouble::Restart { .. })));
     assert!(any(|t| matches!(t, Trouble::Upgrade { .. })));
+    assert!(any(|t| matches!(t, Trouble::FailedUpgrade { .. })));
     assert!(any(|t| matches!(t, Trouble::Reload { .. })));
     assert!(any(|t| matches!(t, Trouble::Discovery { .. })));
 }
