--- a/rig/src/soak/client.rs
+++ b/rig/src/soak/client.rs
@@ -25,6 +25,8 @@
 const OWED: Duration = Duration::from_secs(3);
 /// ... and this much more, for the machine's own delays.
 const OWED_SLACK: Duration = Duration::from_millis(500);
+/// The part of requests whose body is long.
+const LONG_BODIES: f64 = 0.08;
 /// Connections that are kept to each node.
 const KEPT_MAX: usize = 24;
 
@@ -130,8 +132,10 @@
         };
         let key = (class.name == "lodge").then(|| format!("key-{id}"));
         let us = work.as_micros() as u64;
-        let text =
-            job(class.name, &id, "sava", key.as_deref(), deadline.as_secs_f64(), Some(us), &us.to_string());
+        // Some bodies are longer than what goes out in one call.
+        let padding = if random.random_bool(LONG_BODIES) { random.random_range(20_000..60_000) } else { 0 };
+        let body = format!("{us}{}", " ".repeat(padding));
+        let text = job(class.name, &id, "sava", key.as_deref(), deadline.as_secs_f64(), Some(us), &body);
         let attempt = Attempt { clients: &self, node, class, id: &id, deadline, habit, text: &text };
         let kept = stream.is_some();
         let end = attempt.run(stream, &mut random).await;
--- a/rig/src/soak/driver.rs
+++ b/rig/src/soak/driver.rs
@@ -161,6 +161,8 @@
     targets: Vec<Arc<Target>>,
     workers: Vec<Worker>,
     list: List,
+    /// As it was when the run began: every other process starts from this one.
+    first_list: List,
     starts: u16,
     agenda: Vec<(Time, Due)>,
     ready: (mpsc::UnboundedSender<(usize, Time)>, mpsc::UnboundedReceiver<(usize, Time)>),
@@ -204,6 +206,7 @@
             targets,
             workers: Vec::new(),
             list: List { revision: 1, entries: Vec::new() },
+            first_list: List::default(),
             starts: 0,
             agenda: Vec::new(),
             ready: mpsc::unbounded_channel(),
@@ -213,6 +216,7 @@
         for _ in 0..driver.options.workers {
             driver.add_worker(false)?;
         }
+        driver.first_list = driver.list.clone();
         for i in 0..driver.options.nodes {
             let addresses = [8500, 8501].map(|port| address(driver.block, 100 + i, port));
             driver.nodes.push(Node {
@@ -272,12 +276,13 @@
             node.most_attempts,
             node.cancelling,
         );
+        let known = if self.starts % 2 == 0 { &self.list } else { &self.first_list };
         json!({"name": format!("n{i:02}"), "listen": self.targets[i].address.to_string(),
             "discovery": node.agent.addresses[node.discovery].to_string(),
             "management": address(self.block, i, 9000 + self.starts).to_string(),
             "seed": format!("{:x}", self.options.seed.wrapping_mul(31).wrapping_add(u64::from(self.starts))),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-            "known": {"revision": self.list.revision, "complete": true, "members": self.list.members()},
+            "known": {"revision": known.revision, "complete": true, "members": known.members()},
             "settings": settings})
     }
 
@@ -429,6 +434,11 @@
             }
             Trouble::Kill { node } if self.is_steady(node) => self.nodes[node].kill_at = Some(now),
             Trouble::Upgrade { node } if self.is_steady(node) => self.start_node(node)?,
+            Trouble::DrainNode { node } => {
+                if let Some(management) = self.nodes[node].process.as_ref().map(|p| p.management) {
+                    tokio::spawn(drain_node(management, planned.span));
+                }
+            }
             Trouble::FailedUpgrade { node, after } if self.is_steady(node) => {
                 self.start_node(node)?;
                 let life = self.nodes[node].life;
@@ -680,6 +690,13 @@
     process.kill();
 }
 
+/// Sends a node's clients away for this time; a process that has ended meanwhile hears nothing of it.
+async fn drain_node(management: SocketAddr, span: Duration) {
+    crate::process::call(management, "POST", "/healthcheck/fail").await;
+    sleep(span).await;
+    crate::process::call(management, "POST", "/healthcheck/ok").await;
+}
+
 /// Whether the process at this management address serves.
 async fn is_ready(management: SocketAddr) -> bool {
     let call = crate::process::call(management, "GET", "/healthcheck");
--- a/rig/src/soak/schedule.rs
+++ b/rig/src/soak/schedule.rs
@@ -69,6 +69,11 @@
         /// After its start.
         after: Duration,
     },
+    /// Operators send a node's clients away, and take them back.
+    DrainNode {
+        /// The node.
+        node: usize,
+    },
     /// A node reads new settings, so many times in a row.
     Reload {
         /// The node.
@@ -146,8 +151,9 @@
         43..50 => Trouble::Restart { node },
         50..53 => Trouble::Kill { node },
         53..56 => Trouble::Upgrade { node },
-        56..58 => Trouble::FailedUpgrade { node, after: ms(random.random_range(1..120)) },
-        58..66 => Trouble::Reload {
+        56..57 => Trouble::DrainNode { node },
+        57..59 => Trouble::FailedUpgrade { node, after: ms(random.random_range(1..120)) },
+        59..66 => Trouble::Reload {
             node,
             moves_discovery: random.random_bool(0.5),
             times: random.random_range(1..4),
