--- a/rig/src/soak/driver.rs
+++ b/rig/src/soak/driver.rs
@@ -140,7 +140,7 @@
     Begin(Planned),
     EndCalls { node: usize, faults: Vec<Fault> },
     EndClock(usize),
-    Continue(usize),
+    Continue { node: usize, life: usize },
     EndWorker(usize),
     EndDiscovery(Option<usize>),
     Withdraw(usize),
@@ -295,12 +295,15 @@
         let process = Process::start_with(&self.options.binary, &folder, &config, &[], &variables)?;
         let management = process.management;
         let started = self.recorder.now();
+        // What the agent has counts from a process's first moment on, if the agent can be asked.
+        let list_from = (self.nodes[i].agent.mode() == AgentMode::Prompt).then_some(started);
         let life = {
             let mut history = self.recorder.history();
             history.lives.push(Life {
                 node: i,
                 started,
                 ready: None,
+                list_from,
                 terminated: None,
                 ended: None,
                 killed: false,
@@ -394,7 +397,7 @@
                 faults.iter().try_for_each(|fault| self.nodes[node].control.set_rate(*fault, 0))?;
             }
             Due::EndClock(node) => self.nodes[node].control.set_clock_offset(0)?,
-            Due::Continue(node) => self.signal(node, Signal::CONT),
+            Due::Continue { node, life } => self.go_on(node, life),
             Due::EndWorker(worker) => self.worker_mode(worker, WorkerMode::Normal),
             Due::EndDiscovery(node) => self.end_discovery(node, now),
             Due::Withdraw(worker) => self.withdraw(worker, now),
@@ -423,7 +426,8 @@
             }
             Trouble::Pause { node, span } => {
                 self.signal(node, Signal::STOP);
-                self.later(now + span, Due::Continue(node));
+                let life = self.nodes[node].life;
+                self.later(now + span, Due::Continue { node, life });
             }
             Trouble::Restart { node } if self.is_steady(node) => {
                 self.signal(node, Signal::TERM);
@@ -493,6 +497,16 @@
         }
     }
 
+    /// Lets a stopped process go on, also one that was taken over from meanwhile.
+    fn go_on(&mut self, i: usize, life: usize) {
+        let node = &mut self.nodes[i];
+        let current = node.process.as_mut().filter(|_| node.life == life);
+        let before = node.before.iter_mut().find(|(_, old, _)| *old == life).map(|(process, ..)| process);
+        if let Some(process) = current.or(before) {
+            process.signal(Signal::CONT);
+        }
+    }
+
     fn signal(&mut self, node: usize, signal: Signal) {
         if let Some(process) = &mut self.nodes[node].process {
             process.signal(signal);
@@ -533,6 +547,9 @@
             // What it gets at the return counts at once; behind failed calls, at the latest some seconds later.
             let told = if was_down { now } else { now + TOLD_AT_LATEST };
             pending.into_iter().for_each(|worker| self.told(i, worker, told));
+            let mut history = self.recorder.history();
+            let lives = history.lives.iter_mut().filter(|life| life.node == i && life.list_from.is_none());
+            lives.for_each(|life| life.list_from = Some(told));
         }
     }
 
--- a/rig/src/soak/history.rs
+++ b/rig/src/soak/history.rs
@@ -111,6 +111,8 @@
     pub started: Time,
     /// When it first said that it is up.
     pub ready: Option<Time>,
+    /// From when on what discovery has counts as told to it; `None` where discovery was in trouble all the time.
+    pub list_from: Option<Time>,
     /// When it was sent SIGTERM.
     pub terminated: Option<Time>,
     /// When it was sent SIGKILL, or was seen to have ended.
--- a/rig/src/soak/oracle.rs
+++ b/rig/src/soak/oracle.rs
@@ -235,7 +235,8 @@
             .ended
             .is_some_and(|at| at <= ended + limits.tolerance && request.begun <= at + limits.tolerance);
         let early = life.terminated.is_none_or(|at| written <= at + limits.excused);
-        within && early && life.started <= written
+        // It may have been taken over, running, by a process that began after it.
+        within && early && life.started <= ended
     })
 }
 
@@ -278,7 +279,9 @@
             // A new process counts as told from its first moment on, and has its requests once it is ready.
             let life =
                 history.lives.iter().rfind(|l| l.node == request.node && l.started <= attempt.first_byte);
+            let list_from = life.map_or(Some(Time::ZERO), |l| l.list_from);
             let from = told.max(life.and_then(|l| l.ready).unwrap_or_default());
+            let Some(from) = list_from.map(|list_from| from.max(list_from)) else { continue };
             let late = attempt.first_byte.saturating_sub(from);
             if late > limits.drain_grace + tolerance {
                 let (node, worker) = (request.node, attempt.worker);
