--- a/node/tests/peers.rs
+++ b/node/tests/peers.rs
@@ -43,16 +43,21 @@
     Some(buffer[..n].to_vec())
 }
 
-#[tokio::test(start_paused = true)]
-async fn nodes_tell_each_other_and_only_what_a_known_one_says_anew_counts() {
-    let (node, own, other, worker) = first_of_two(true).await;
+/// What the node tells the other one first.
+async fn first_told(other: &UdpSocket) -> Vec<u8> {
     let mut told = None;
     until("it tells", STEP, || {
-        told = take(&other);
+        told = take(other);
         told.is_some()
     })
     .await;
-    let told = told.unwrap();
+    told.unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_tell_each_other_and_only_what_a_known_one_says_anew_counts() {
+    let (node, own, other, worker) = first_of_two(true).await;
+    let told = first_told(&other).await;
     assert!(told.len() <= 256 && node.counters.told.get() >= 1);
     // The form: its version, who the tenants are, when it was sent, two bytes for each tenant.
     assert_eq!((told[0], told.len()), (1, 9 + 2));
@@ -88,13 +93,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_node_whose_clock_was_set_back_is_heard_again() {
     let (node, own, other, _worker) = first_of_two(true).await;
-    let mut told = None;
-    until("it tells", STEP, || {
-        told = take(&other);
-        told.is_some()
-    })
-    .await;
-    let told = told.unwrap();
+    let told = first_told(&other).await;
     let sent_at = |ms: u32| [&told[..5], &ms.to_be_bytes(), &told[9..]].concat();
     let own = own.local_addr().unwrap();
     other.send_to(&sent_at(5_000_000), own).unwrap();
--- a/rig/src/soak/discovery.rs
+++ b/rig/src/soak/discovery.rs
@@ -146,7 +146,7 @@
         let (known, wait) = (number("index"), number("wait"));
         if let (Some(known), Some(wait)) = (known, wait) {
             let wait = Duration::from_millis(wait).min(WAIT_MAX);
-            let newer = list.wait_for(|list| list.revision > known || list.revision < known);
+            let newer = list.wait_for(|list| list.revision != known);
             let forgets = mode.wait_for(|mode| *mode == AgentMode::Forgetful);
             let is_forgotten = tokio::select! {
                 _ = timeout(wait, newer) => false,
--- a/rig/src/soak/driver.rs
+++ b/rig/src/soak/driver.rs
@@ -150,6 +150,12 @@
     KillSuccessor { node: usize, life: usize },
 }
 
+/// A process has said that it is ready.
+struct Ready {
+    life: usize,
+    at: Time,
+}
+
 struct Driver {
     options: Options,
     recorder: Recorder,
@@ -165,7 +171,8 @@
     first_list: List,
     starts: u16,
     agenda: Vec<(Time, Due)>,
-    ready: (mpsc::UnboundedSender<(usize, Time)>, mpsc::UnboundedReceiver<(usize, Time)>),
+    report_ready: mpsc::UnboundedSender<Ready>,
+    ready: mpsc::UnboundedReceiver<Ready>,
     injected: BTreeMap<Fault, ()>,
 }
 
@@ -196,6 +203,7 @@
         let library = shim::build(&folder)?;
         let targets =
             (0..options.nodes).map(|i| Arc::new(Target::new(address(block, i, shim::CLIENT_PORT)))).collect();
+        let (report_ready, ready) = mpsc::unbounded_channel();
         let mut driver = Driver {
             recorder: Recorder::default(),
             folder,
@@ -209,7 +217,8 @@
             first_list: List::default(),
             starts: 0,
             agenda: Vec::new(),
-            ready: mpsc::unbounded_channel(),
+            report_ready,
+            ready,
             injected: BTreeMap::new(),
             options,
         };
@@ -276,7 +285,7 @@
             node.most_attempts,
             node.cancelling,
         );
-        let known = if self.starts % 2 == 0 { &self.list } else { &self.first_list };
+        let known = if self.starts.is_multiple_of(2) { &self.list } else { &self.first_list };
         json!({"name": format!("n{i:02}"), "listen": self.targets[i].address.to_string(),
             "discovery": node.agent.addresses[node.discovery].to_string(),
             "management": address(self.block, i, 9000 + self.starts).to_string(),
@@ -311,12 +320,12 @@
             });
             history.lives.len() - 1
         };
-        let (recorder, tell) = (self.recorder.clone(), self.ready.0.clone());
+        let (recorder, tell) = (self.recorder.clone(), self.report_ready.clone());
         tokio::spawn(async move {
             while !is_ready(management).await {
                 sleep(LOOK).await;
             }
-            let _ = tell.send((life, recorder.now())); // nobody listens once the run is over
+            let _ = tell.send(Ready { life, at: recorder.now() }); // nobody listens once the run is over
         });
         let node = &mut self.nodes[i];
         if let Some(old) = node.process.replace(process) {
@@ -329,7 +338,7 @@
     /// Looks at what the processes do by themselves.
     fn look(&mut self) -> io::Result<()> {
         let now = self.recorder.now();
-        while let Ok((life, at)) = self.ready.1.try_recv() {
+        while let Ok(Ready { life, at }) = self.ready.try_recv() {
             let mut history = self.recorder.history();
             history.lives[life].ready = Some(at);
             let node = history.lives[life].node;
