--- a/node/tests/system_calls.rs
+++ b/node/tests/system_calls.rs
@@ -22,6 +22,8 @@
 
 /// Half of all calls: some hundred calls meet it for sure, and each is made again soon.
 const HALF: u64 = 500_000;
+/// Of some ten calls, one surely meets it.
+const MOST: u64 = 750_000;
 const ALL: u64 = 1_000_000;
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -43,11 +45,17 @@
 
 impl One {
     async fn start(workers: usize) -> One {
-        One::with(workers, true, |_| {}).await
+        One::with(workers, true, |_| {}, |_| {}).await
     }
 
-    /// Starts one that may call attempts off or not; `prepare` sets what is injected from the process's first call on.
-    async fn with(workers: usize, cancelling: bool, prepare: impl Fn(&Control)) -> One {
+    /// Starts one that may call attempts off or not; `prepare` sets what is injected from the process's first call on, and
+    /// `meanwhile` may change it until the process is ready.
+    async fn with(
+        workers: usize,
+        cancelling: bool,
+        prepare: impl Fn(&Control),
+        meanwhile: impl Fn(&Control),
+    ) -> One {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let (block, lock) = free_block(std::process::id() + number * 37).unwrap();
         let folder = std::env::temp_dir().join(format!("calls-{}-{number}", std::process::id()));
@@ -87,6 +95,7 @@
             .is_none_or(|(status, _)| status != 200)
         {
             assert!(started.elapsed() < LIMIT, "it is not ready: {}", one.log());
+            meanwhile(&one.control);
             sleep(Duration::from_millis(10)).await;
         }
         one
@@ -234,7 +243,7 @@
             stream.write_all(request("check", &format!("{fault:?}-{n}")).as_bytes()).await.unwrap();
             streams.push(stream);
         }
-        one.inject(fault, HALF);
+        one.inject(fault, MOST);
         sleep(Duration::from_millis(400)).await;
         one.process.go_on();
         for (n, stream) in streams.iter_mut().enumerate() {
@@ -304,9 +313,14 @@
 #[tokio::test]
 async fn a_start_outlives_a_moment_without_descriptors() {
     for fault in [Fault::SocketEnfile, Fault::SocketEnobufs] {
-        let one = One::with(1, true, |control| control.set_rate(fault, HALF).unwrap()).await;
+        let fails = |control: &Control| control.set_rate(fault, ALL).unwrap();
+        let passes = |control: &Control| {
+            if control.injected(fault).unwrap() >= 3 {
+                control.set_rate(fault, 0).unwrap();
+            }
+        };
+        let one = One::with(1, true, fails, passes).await;
         one.was_met(fault);
-        one.inject(fault, 0);
         let mut stream = one.connect().await;
         assert_eq!(one.ask(&mut stream, "after").await, Some(200));
     }
@@ -316,7 +330,7 @@
 /// within the grace, and the process is held up then.
 #[tokio::test]
 async fn nothing_goes_to_a_drained_worker_after_a_standstill() {
-    let mut one = One::with(0, false, |_| {}).await;
+    let mut one = One::with(0, false, |_| {}, |_| {}).await;
     one.control.set_stall(Duration::from_millis(150)).unwrap();
     // A worker whose connections come up a second after they are asked for.
     let (listener, fills) = late_listener();
