Soak: one address block, one end of a process, names in place of tuples

Read over: the driver had the cluster's address block taken apart, asked twice whether a process is over, kept a map of nothing for a set and a method that nobody called.

--- a/rig/src/cluster.rs
+++ b/rig/src/cluster.rs
@@ -455,12 +455,12 @@
     Ok((Block(block), lock))
 }
 
-pub(crate) fn address(block: [u8; 2], host: usize, port: u16) -> SocketAddr {
+fn address(block: [u8; 2], host: usize, port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(127, block[0], block[1], host as u8 + 1), port))
 }
 
 /// A block of addresses that no other cluster uses, and what holds it.
-pub(crate) fn block(first: u32) -> io::Result<([u8; 2], TcpListener)> {
+fn block(first: u32) -> io::Result<([u8; 2], TcpListener)> {
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
     for n in (0..512).map(|i| first.wrapping_add(i)) {
         let block = [64 + (n >> 8) as u8 % 128, n as u8];
--- a/rig/src/soak/driver.rs
+++ b/rig/src/soak/driver.rs
@@ -8,15 +8,16 @@
 use super::settings::{self, REPEAT_WINDOW};
 use super::shim::{self, Control, Fault};
 use super::worker::{SoakWorker, WorkerMode};
-use crate::cluster::{address, block};
+use crate::cluster::{free_block, Block};
 use crate::process::Process;
 use crate::wire;
 use rustix::process::Signal;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
@@ -69,13 +70,13 @@
 pub struct Report {
     /// Broken rules.
     pub violations: Vec<Violation>,
-    /// Requests, attempts, and answers by status.
+    /// Requests that clients began.
     pub requests: usize,
     /// Attempts that workers saw.
     pub attempts: usize,
     /// Answers by status.
     pub answers: BTreeMap<u16, usize>,
-    /// How often each fault was injected, of those that were to be.
+    /// How often each fault was injected, of those that were to be. Of one that never met a call the run shows nothing.
     pub injected: BTreeMap<Fault, u64>,
     /// The longest that the stand-ins themselves were held up.
     pub own_lag: Duration,
@@ -83,13 +84,6 @@
     pub folder: PathBuf,
 }
 
-impl Report {
-    /// Faults that were to be injected and never met a call: of them the run shows nothing.
-    pub fn unmet(&self) -> Vec<Fault> {
-        self.injected.iter().filter(|(_, count)| **count == 0).map(|(fault, _)| *fault).collect()
-    }
-}
-
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Report { requests, attempts, answers, injected, own_lag, .. } = self;
@@ -110,8 +104,8 @@
 struct Node {
     process: Option<Process>,
     life: usize,
-    /// Processes that were taken over from: the process, its life, when it is to be killed.
-    before: Vec<(Process, usize, Time)>,
+    /// Processes that were taken over from.
+    before: Vec<Predecessor>,
     control: Control,
     agent: Agent,
     discovery: usize,
@@ -126,6 +120,14 @@
     pending: Vec<usize>,
 }
 
+/// A process that another one has taken over from.
+struct Predecessor {
+    process: Process,
+    life: usize,
+    /// When it is to be killed; `None` until it was told to end.
+    kill_at: Option<Time>,
+}
+
 struct Worker {
     id: String,
     number: usize,
@@ -161,7 +163,7 @@
     recorder: Recorder,
     folder: PathBuf,
     library: PathBuf,
-    block: [u8; 2],
+    block: Block,
     _lock: TcpListener,
     nodes: Vec<Node>,
     targets: Vec<Arc<Target>>,
@@ -173,7 +175,7 @@
     agenda: Vec<(Time, Due)>,
     report_ready: mpsc::UnboundedSender<Ready>,
     ready: mpsc::UnboundedReceiver<Ready>,
-    injected: BTreeMap<Fault, ()>,
+    injected: BTreeSet<Fault>,
 }
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -197,12 +199,12 @@
 impl Driver {
     async fn prepare(options: Options) -> io::Result<Driver> {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let (block, _lock) = block(std::process::id().wrapping_mul(101).wrapping_add(number * 7907))?;
+        let (block, _lock) = free_block(std::process::id().wrapping_mul(101).wrapping_add(number * 7907))?;
         let folder = std::env::temp_dir().join(format!("soak-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let library = shim::build(&folder)?;
         let targets =
-            (0..options.nodes).map(|i| Arc::new(Target::new(address(block, i, shim::CLIENT_PORT)))).collect();
+            (0..options.nodes).map(|i| Arc::new(Target::new(block.address(i, shim::CLIENT_PORT)))).collect();
         let (report_ready, ready) = mpsc::unbounded_channel();
         let mut driver = Driver {
             recorder: Recorder::default(),
@@ -219,7 +221,7 @@
             agenda: Vec::new(),
             report_ready,
             ready,
-            injected: BTreeMap::new(),
+            injected: BTreeSet::new(),
             options,
         };
         for _ in 0..driver.options.workers {
@@ -227,7 +229,7 @@
         }
         driver.first_list = driver.list.clone();
         for i in 0..driver.options.nodes {
-            let addresses = [8500, 8501].map(|port| address(driver.block, 100 + i, port));
+            let addresses = [8500, 8501].map(|port| driver.block.address(100 + i, port));
             driver.nodes.push(Node {
                 process: None,
                 life: 0,
@@ -258,7 +260,7 @@
         let mut load_ended = None;
         loop {
             self.look()?;
-            self.act().await?;
+            self.act()?;
             if load_ended.is_none() && load.is_finished() {
                 let _ = (&mut load).await;
                 load_ended = Some(self.recorder.now());
@@ -288,7 +290,7 @@
         let known = if self.starts.is_multiple_of(2) { &self.list } else { &self.first_list };
         json!({"name": format!("n{i:02}"), "listen": self.targets[i].address.to_string(),
             "discovery": node.agent.addresses[node.discovery].to_string(),
-            "management": address(self.block, i, 9000 + self.starts).to_string(),
+            "management": self.block.address(i, 9000 + self.starts).to_string(),
             "seed": format!("{:x}", self.options.seed.wrapping_mul(31).wrapping_add(u64::from(self.starts))),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
             "known": {"revision": known.revision, "complete": true, "members": known.members()},
@@ -329,7 +331,7 @@
         });
         let node = &mut self.nodes[i];
         if let Some(old) = node.process.replace(process) {
-            node.before.push((old, node.life, Time::MAX));
+            node.before.push(Predecessor { process: old, life: node.life, kill_at: None });
         }
         (node.life, node.start_at, node.kill_at) = (life, None, None);
         Ok(())
@@ -347,23 +349,16 @@
                 self.targets[node].accepts.store(true, Ordering::Relaxed);
             }
             // The process before is told to end once the next one serves.
-            for (process, old, kill_at) in &mut self.nodes[node].before {
-                if *kill_at == Time::MAX {
-                    *kill_at = now + KILL_AFTER;
-                    process.signal(Signal::TERM);
-                    self.recorder.history().lives[*old].terminated = Some(now);
-                }
+            for before in self.nodes[node].before.iter_mut().filter(|before| before.kill_at.is_none()) {
+                before.kill_at = Some(now + KILL_AFTER);
+                before.process.signal(Signal::TERM);
+                self.recorder.history().lives[before.life].terminated = Some(now);
             }
         }
         for i in 0..self.nodes.len() {
             let node = &mut self.nodes[i];
-            node.before.retain_mut(|(process, life, kill_at)| {
-                let over = record_end(&self.recorder, process, *life, now);
-                if !over && now >= *kill_at {
-                    kill(&self.recorder, process, *life);
-                    return false;
-                }
-                !over
+            node.before.retain_mut(|before| {
+                !is_over(&self.recorder, &mut before.process, before.life, before.kill_at, now)
             });
             let Some(process) = &mut node.process else {
                 if node.start_at.is_some_and(|at| now >= at) {
@@ -371,11 +366,7 @@
                 }
                 continue;
             };
-            let over = record_end(&self.recorder, process, node.life, now);
-            if !over && node.kill_at.is_some_and(|at| now >= at) {
-                kill(&self.recorder, process, node.life);
-            }
-            if over || node.kill_at.is_some_and(|at| now >= at) {
+            if is_over(&self.recorder, process, node.life, node.kill_at, now) {
                 (node.process, node.kill_at) = (None, None);
                 node.start_at = Some(now + RESTART_AFTER);
                 self.targets[i].accepts.store(false, Ordering::Relaxed);
@@ -384,11 +375,11 @@
         Ok(())
     }
 
-    async fn act(&mut self) -> io::Result<()> {
+    fn act(&mut self) -> io::Result<()> {
         let now = self.recorder.now();
-        let (due, later) = std::mem::take(&mut self.agenda).into_iter().partition(|(at, _)| *at <= now);
+        let agenda = std::mem::take(&mut self.agenda).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = agenda.partition(|(at, _)| *at <= now);
         self.agenda = later;
-        let due: Vec<(Time, Due)> = due;
         for (_, due) in due {
             self.carry_out(due, now)?;
         }
@@ -423,7 +414,7 @@
         match planned.trouble {
             Trouble::Calls { node, faults } => {
                 for (fault, rate) in &faults {
-                    self.injected.insert(*fault, ());
+                    self.injected.insert(*fault);
                     self.nodes[node].control.set_rate(*fault, *rate)?;
                 }
                 let faults = faults.into_iter().map(|(fault, _)| fault).collect();
@@ -473,8 +464,7 @@
                 self.later(end, Due::EndWorker(worker));
             }
             Trouble::Discovery { node, mode } => {
-                let nodes = node.map_or(0..self.nodes.len(), |node| node..node + 1);
-                nodes.for_each(|node| self.nodes[node].agent.set_mode(mode));
+                self.which(node).for_each(|node| self.nodes[node].agent.set_mode(mode));
                 self.later(end, Due::EndDiscovery(node));
             }
             // The node is on its way to its end, or has just started.
@@ -496,13 +486,13 @@
     /// Kills a process that takes over; the one before serves on, unless it was told to end by then.
     fn kill_successor(&mut self, i: usize, life: usize) {
         let node = &mut self.nodes[i];
-        let serves_on = node.before.last().is_some_and(|(_, _, kill_at)| *kill_at == Time::MAX);
+        let serves_on = node.before.last().is_some_and(|before| before.kill_at.is_none());
         if node.life != life || !serves_on {
             return;
         }
-        if let (Some(mut successor), Some((before, old, _))) = (node.process.take(), node.before.pop()) {
+        if let (Some(mut successor), Some(before)) = (node.process.take(), node.before.pop()) {
             kill(&self.recorder, &mut successor, life);
-            (node.process, node.life) = (Some(before), old);
+            (node.process, node.life) = (Some(before.process), before.life);
         }
     }
 
@@ -510,7 +500,8 @@
     fn go_on(&mut self, i: usize, life: usize) {
         let node = &mut self.nodes[i];
         let current = node.process.as_mut().filter(|_| node.life == life);
-        let before = node.before.iter_mut().find(|(_, old, _)| *old == life).map(|(process, ..)| process);
+        let before =
+            node.before.iter_mut().find(|before| before.life == life).map(|before| &mut before.process);
         if let Some(process) = current.or(before) {
             process.signal(Signal::CONT);
         }
@@ -544,8 +535,7 @@
     }
 
     fn end_discovery(&mut self, node: Option<usize>, now: Time) {
-        let nodes = node.map_or(0..self.nodes.len(), |node| node..node + 1);
-        for i in nodes {
+        for i in self.which(node) {
             let (pending, list) = (std::mem::take(&mut self.nodes[i].pending), Arc::new(self.list.clone()));
             let was_down = self.nodes[i].agent.mode() == AgentMode::Down;
             if !was_down {
@@ -562,6 +552,11 @@
         }
     }
 
+    /// One node, or all.
+    fn which(&self, node: Option<usize>) -> Range<usize> {
+        node.map_or(0..self.nodes.len(), |node| node..node + 1)
+    }
+
     fn told(&self, node: usize, worker: usize, at: Time) {
         let reloaded = self.nodes[node].reloaded.map_or(Time::ZERO, |reloaded| reloaded + TOLD_AFTER_RELOAD);
         let told = at.max(reloaded).max(self.nodes[node].unsure_until);
@@ -587,7 +582,7 @@
     fn add_worker(&mut self, cold: bool) -> io::Result<()> {
         let number = self.workers.len();
         let (host, port) = (200 + number % 50, 8100 + (number / 50) as u16);
-        let at = address(self.block, host, port);
+        let at = self.block.address(host, port);
         let seed = self.options.seed.wrapping_add(number as u64);
         // A third of them have connections that may come up late.
         let stand_in = SoakWorker::start(number, at, &self.recorder, cold, number % 3 == 2, seed)?;
@@ -601,7 +596,7 @@
 
     fn phase(&mut self, worker: usize, phase: &str) {
         let Worker { id, number, host, since_ms, .. } = &self.workers[worker];
-        let at: SocketAddr = address(self.block, *host, 8100 + (number / 50) as u16);
+        let at: SocketAddr = self.block.address(*host, 8100 + (number / 50) as u16);
         let line = wire::line(id, at, phase, *since_ms);
         self.list.set(&id.clone(), line, phase == "terminated");
     }
@@ -651,7 +646,7 @@
         for i in 0..self.nodes.len() {
             reported.extend(reported_by(&self.folder.join(format!("n{i:02}")), i)?);
         }
-        let injected = self.injected.keys().map(|fault| {
+        let injected = self.injected.iter().map(|fault| {
             let counts = self.nodes.iter().map(|node| node.control.injected(*fault));
             Ok((*fault, counts.sum::<io::Result<u64>>()?))
         });
@@ -700,12 +695,24 @@
     Ok(reported)
 }
 
-/// Records the end of a process that has ended by itself.
-fn record_end(recorder: &Recorder, process: &mut Process, life: usize, now: Time) -> bool {
-    let Some(status) = process.ended() else { return false };
-    let mut history = recorder.history();
-    (history.lives[life].ended, history.lives[life].code) = (Some(now), status.code());
-    true
+/// Whether a process has ended by itself, or its time is over and it was killed; records its end.
+fn is_over(
+    recorder: &Recorder,
+    process: &mut Process,
+    life: usize,
+    kill_at: Option<Time>,
+    now: Time,
+) -> bool {
+    if let Some(status) = process.ended() {
+        let mut history = recorder.history();
+        (history.lives[life].ended, history.lives[life].code) = (Some(now), status.code());
+        return true;
+    }
+    let is_due = kill_at.is_some_and(|at| now >= at);
+    if is_due {
+        kill(recorder, process, life);
+    }
+    is_due
 }
 
 fn kill(recorder: &Recorder, process: &mut Process, life: usize) {
