Soak: a profile of process handovers under signals in series, stalls and a crowd

Cause: 5 of 100 faults were upgrades, none of which stalled a process between the freeze of a request and the reply, and SIGTERM was sent once, when the successor was ready.

--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by a panic, also in the functions that it calls")]
 
 use std::time::Duration;
+use testbed::soak::schedule::Profile;
 use testbed::soak::{run, Options};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -14,6 +15,8 @@
         fault_free: Duration::from_secs(1),
         requests_per_second: 80.0,
         faults_per_second: 3.0,
+        profile: Profile::Mixed,
+        idle_clients: 0,
         seed: 31,
         verbose: false,
     };
--- a/testbed/shim/faults.c
+++ b/testbed/shim/faults.c
@@ -49,6 +49,9 @@
     WRITE_EIO,
     SYNC_EIO,
     WRITE_SHORT,
+    STALL_BEFORE_SENDMSG,
+    STALL_AFTER_RECVMSG,
+    STALL_BEFORE_LINK_WRITE,
     FAULTS
 };
 
@@ -99,8 +102,7 @@
     return 1;
 }
 
-static void stall(enum fault fault) {
-    if (!strikes(fault)) return;
+static void stall_now(void) {
     int64_t ns = atomic_load(&control->parameter[STALL_NS]);
     struct timespec span = {ns / 1000000000, ns % 1000000000};
     int saved = errno;
@@ -108,15 +110,27 @@
     errno = saved;
 }
 
+static void stall(enum fault fault) {
+    if (strikes(fault)) stall_now();
+}
+
 static int is_socket(int fd) {
     struct stat st;
     return control != NULL && fstat(fd, &st) == 0 && S_ISSOCK(st.st_mode);
 }
 
-static int is_tcp(int fd) {
+static int has_domain(int fd, int expected) {
     int domain = 0;
     socklen_t length = sizeof domain;
-    return control != NULL && getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) == 0 && domain == AF_INET;
+    return control != NULL && getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) == 0 && domain == expected;
+}
+
+static int is_tcp(int fd) {
+    return has_domain(fd, AF_INET);
+}
+
+static int is_unix_socket(int fd) {
+    return has_domain(fd, AF_UNIX);
 }
 
 /* Whether the process opened this connection; accepted connections have the listening port as local port. */
@@ -136,6 +150,26 @@
     static __typeof__(name) *real; \
     if (real == NULL) real = (__typeof__(name) *)dlsym(RTLD_NEXT, #name)
 
+/* The link of a handover; the rate is checked first, as most writes are to other sockets. */
+static void stall_link_write(int fd) {
+    if (control == NULL || atomic_load_explicit(&control->rate[STALL_BEFORE_LINK_WRITE], memory_order_relaxed) == 0)
+        return;
+    if (is_unix_socket(fd)) stall(STALL_BEFORE_LINK_WRITE);
+}
+
+ssize_t sendmsg(int fd, const struct msghdr *message, int flags) {
+    REAL(sendmsg);
+    if (is_unix_socket(fd)) stall(STALL_BEFORE_SENDMSG);
+    return real(fd, message, flags);
+}
+
+ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
+    REAL(recvmsg);
+    ssize_t got = real(fd, message, flags);
+    if (got > 0 && message->msg_controllen > 0 && is_unix_socket(fd)) stall(STALL_AFTER_RECVMSG);
+    return got;
+}
+
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     REAL(recv);
     if (flags & MSG_PEEK) {
@@ -161,6 +195,7 @@
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     REAL(send);
     if (is_tcp(fd)) stall(STALL_BEFORE_SEND);
+    stall_link_write(fd);
     if (fails(SEND_EINTR, EINTR) || fails(SEND_ENOBUFS, ENOBUFS)) return -1;
     if (length > 1 && is_tcp(fd) && strikes(SEND_SHORT)) length = 1 + next_random() % (length - 1);
     return real(fd, buffer, length, flags);
@@ -174,6 +209,7 @@
 
 ssize_t write(int fd, const void *buffer, size_t length) {
     REAL(write);
+    stall_link_write(fd);
     if (is_socket(fd) && fails(SEND_EINTR, EINTR)) return -1;
     return real(fd, buffer, length);
 }
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use testbed::allocation::{counting, CountingAllocator};
 use testbed::plan::{execute, Outcome, Plan, PlanError};
+use testbed::soak::schedule::Profile;
 use testbed::{demo, measure, scale, soak};
 
 /// Counts allocated bytes, for the measurements of state size.
@@ -101,6 +102,12 @@
         /// Faults that begin per second.
         #[arg(long = "troubles", value_name = "TROUBLES", default_value_t = 3.0)]
         faults_per_second: f64,
+        /// Draws mostly process handovers, disturbed by signals and stalls.
+        #[arg(long)]
+        handovers: bool,
+        /// Number of clients of each node that connect and send nothing.
+        #[arg(long, default_value_t = 0)]
+        idle_clients: usize,
         /// Prints the fault schedules.
         #[arg(long)]
         verbose: bool,
@@ -180,6 +187,8 @@
             fault_free_s,
             requests,
             faults_per_second,
+            handovers,
+            idle_clients,
             verbose,
         } => {
             let options = soak::Options {
@@ -190,6 +199,8 @@
                 fault_free: Duration::from_secs_f64(fault_free_s),
                 requests_per_second: requests,
                 faults_per_second,
+                profile: if handovers { Profile::Handovers } else { Profile::Mixed },
+                idle_clients,
                 seed,
                 verbose,
             };
--- a/testbed/src/soak/client.rs
+++ b/testbed/src/soak/client.rs
@@ -28,6 +28,8 @@
 const CLOSE_TOLERANCE: Duration = Duration::from_millis(500);
 /// Share of requests with a long body.
 const LONG_BODY_SHARE: f64 = 0.08;
+/// Time from the end of an idle client's connection to its next one.
+const IDLE_RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of idle connections to each node.
 const IDLE_CONNECTIONS_MAX: usize = 24;
 
@@ -111,6 +113,16 @@
         while calls.join_next().await.is_some() {}
     }
 
+    /// Keeps this many connections to each node that send nothing; one that the node closes is opened again. Ends
+    /// when it is dropped.
+    pub async fn hold_idle(self: Arc<Self>, per_node: usize) {
+        let mut connections = JoinSet::new();
+        for target in &self.targets {
+            (0..per_node).for_each(|_| drop(connections.spawn(stay_idle(target.clone()))));
+        }
+        while connections.join_next().await.is_some() {}
+    }
+
     async fn call(self: Arc<Self>, mut rng: SmallRng) {
         let class = draw_class(&mut rng);
         let behavior = draw_behavior(&mut rng);
@@ -162,6 +174,18 @@
     }
 }
 
+/// Connects to a node while it accepts connections, sends nothing, and connects again when it is closed.
+async fn stay_idle(target: Arc<Target>) {
+    loop {
+        if target.accepts.load(Ordering::Relaxed) {
+            if let Ok(mut stream) = TcpStream::connect(target.address).await {
+                let _ = stream.read(&mut [0; 1]).await; // whether it ends or fails, it is over
+            }
+        }
+        sleep(IDLE_RECONNECT_INTERVAL).await;
+    }
+}
+
 fn draw_class(rng: &mut SmallRng) -> &'static Class {
     let mut remaining = rng.random_range(0.0..1.0);
     for class in &CLASSES {
--- a/testbed/src/soak/driver/execution.rs
+++ b/testbed/src/soak/driver/execution.rs
@@ -2,7 +2,7 @@
 
 use super::super::discovery::AgentMode;
 use super::super::history::Time;
-use super::super::schedule::{FaultKind, PlannedFault};
+use super::super::schedule::{DisturbedHandover, FaultKind, HandoverSide, PlannedFault, SignalSeries};
 use super::super::shim::Fault;
 use super::super::worker::WorkerMode;
 use super::processes::{drain_clients, KILL_AFTER};
@@ -16,6 +16,11 @@
 const CONNECTS_AFTER_SIGTERM: Duration = Duration::from_millis(300);
 /// Interval between the reloads of one fault.
 const RELOAD_INTERVAL: Duration = Duration::from_millis(40);
+/// Calls that stall during a disturbed handover.
+const HANDOVER_LINK_FAULTS: [Fault; 3] =
+    [Fault::StallBeforeSendmsg, Fault::StallAfterRecvmsg, Fault::StallBeforeLinkWrite];
+/// Time from a successor's start for which calls on the link stall.
+const LINK_STALL_TIME: Duration = Duration::from_millis(1_500);
 /// Nanoseconds in a millisecond.
 const NANOS_PER_MILLI: i64 = 1_000_000;
 
@@ -32,6 +37,9 @@
     Reload { node: usize, moves_discovery: bool },
     StopConnecting(usize),
     KillSuccessor { node: usize, record: usize },
+    Pause { node: usize, record: usize, until: Time },
+    Terminate { node: usize, record: usize },
+    UpgradeAgain { node: usize, terminate_after: Duration },
 }
 
 impl Driver {
@@ -66,6 +74,11 @@
             Action::RemoveWorker(worker) => self.workers[worker].stand_in = None,
             Action::Reload { node, moves_discovery } => self.reload(node, moves_discovery, now)?,
             Action::KillSuccessor { node, record } => self.kill_successor(node, record),
+            Action::Pause { node, record, until } => self.pause_process(node, record, until),
+            Action::Terminate { node, record } => self.terminate_process(node, record, now),
+            Action::UpgradeAgain { node, terminate_after } => {
+                self.upgrade_and_terminate(node, terminate_after, now)?;
+            }
             Action::StopConnecting(node) => self.targets[node].accepts.store(false, Ordering::Relaxed),
         }
         Ok(())
@@ -85,6 +98,9 @@
             }
             FaultKind::Kill { node } if self.is_steady(node) => self.nodes[node].kill_at = Some(now),
             FaultKind::Upgrade { node } if self.is_steady(node) => self.start_node(node)?,
+            FaultKind::DisturbedHandover(handover) if self.is_steady(handover.node) => {
+                self.disturb_handover(&handover, now)?;
+            }
             FaultKind::FailedUpgrade { node, after } if self.is_steady(node) => {
                 self.start_node(node)?;
                 let record = self.nodes[node].record;
@@ -93,6 +109,7 @@
             FaultKind::Restart { .. }
             | FaultKind::Kill { .. }
             | FaultKind::Upgrade { .. }
+            | FaultKind::DisturbedHandover(_)
             | FaultKind::FailedUpgrade { .. } => {}
             FaultKind::DrainNode { node } => self.drain_node(node, planned.span),
             FaultKind::Reload { node, moves_discovery, times } => {
@@ -126,9 +143,54 @@
     }
 
     fn pause(&mut self, node: usize, end: Time) {
-        self.signal(node, Signal::STOP);
-        let record = self.nodes[node].record;
-        self.schedule(end, Action::Resume { node, record });
+        self.pause_process(node, self.nodes[node].record, end);
+    }
+
+    fn pause_process(&mut self, node: usize, record: usize, until: Time) {
+        self.signal_process(node, record, Signal::STOP);
+        self.schedule(until, Action::Resume { node, record });
+    }
+
+    /// Starts a successor, and schedules the signals and stalls of both processes.
+    fn disturb_handover(&mut self, handover: &DisturbedHandover, now: Time) -> io::Result<()> {
+        let DisturbedHandover { node, terminate_after, signals, ref stalls, link_stall_rate } = *handover;
+        let stalled_calls = HANDOVER_LINK_FAULTS.map(|fault| (fault, link_stall_rate)).to_vec();
+        self.inject(node, stalled_calls, now + LINK_STALL_TIME)?;
+        let predecessor = self.upgrade_and_terminate(node, terminate_after, now)?;
+        let successor = self.nodes[node].record;
+        for stall in stalls {
+            let record = match stall.side {
+                HandoverSide::Predecessor => predecessor,
+                HandoverSide::Successor => successor,
+            };
+            let begin = now + stall.after;
+            self.schedule(begin, Action::Pause { node, record, until: begin + stall.span });
+        }
+        match signals {
+            SignalSeries::TerminateOnce => {}
+            SignalSeries::TerminateTwice { after } => {
+                let again = Action::Terminate { node, record: predecessor };
+                self.schedule(now + terminate_after + after, again);
+            }
+            SignalSeries::ReloadBeforeTerminate => self.signal_process(node, predecessor, Signal::HUP),
+            SignalSeries::UpgradeAgain { after } => {
+                self.schedule(now + after, Action::UpgradeAgain { node, terminate_after });
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a successor and schedules SIGTERM to the node's process so far, whose record is returned.
+    fn upgrade_and_terminate(
+        &mut self,
+        node: usize,
+        terminate_after: Duration,
+        now: Time,
+    ) -> io::Result<usize> {
+        let predecessor = self.nodes[node].record;
+        self.start_node(node)?;
+        self.schedule(now + terminate_after, Action::Terminate { node, record: predecessor });
+        Ok(predecessor)
     }
 
     fn drain_node(&self, node: usize, span: Duration) {
--- a/testbed/src/soak/driver/mod.rs
+++ b/testbed/src/soak/driver/mod.rs
@@ -15,7 +15,7 @@
 use super::client::{Clients, Target};
 use super::discovery::{Agent, List};
 use super::history::{Recorder, Time};
-use super::schedule::{draw, ScheduleSpec};
+use super::schedule::{draw, Profile, ScheduleSpec};
 use super::shim::{self, Control, Fault};
 use crate::cluster::{free_block, Block};
 use endpoints::Worker;
@@ -63,6 +63,10 @@
     pub requests_per_second: f64,
     /// Faults that begin per second.
     pub faults_per_second: f64,
+    /// Which faults are drawn.
+    pub profile: Profile,
+    /// Number of clients of each node that connect and send nothing.
+    pub idle_clients: usize,
     /// Seed of all random choices.
     pub seed: u64,
     /// Whether the schedule is printed.
@@ -107,6 +111,7 @@
         load_duration: options.load_duration,
         fault_free: options.fault_free.max(START_TIME),
         faults_per_second: options.faults_per_second,
+        profile: options.profile,
     };
     let planned = draw(&spec, options.seed);
     let mut driver = Driver::prepare(options).await?;
@@ -173,6 +178,7 @@
         }
         let clients = Clients::new(self.recorder.clone(), self.targets.clone());
         let Options { requests_per_second, load_duration, seed, .. } = self.options;
+        let idle_clients = tokio::spawn(clients.clone().hold_idle(self.options.idle_clients));
         let mut load = tokio::spawn(clients.run(requests_per_second, load_duration, seed ^ LOAD_SEED));
         let mut load_ended = false;
         loop {
@@ -187,6 +193,7 @@
             }
             sleep(POLL_INTERVAL).await;
         }
+        idle_clients.abort();
         lag_probe.abort();
         self.finish().await
     }
--- a/testbed/src/soak/driver/processes.rs
+++ b/testbed/src/soak/driver/processes.rs
@@ -241,11 +241,31 @@
 
     /// Resumes a stopped process, even if a successor has started meanwhile.
     pub(super) fn resume(&mut self, i: usize, record: usize) {
+        self.signal_process(i, record, Signal::CONT);
+    }
+
+    /// Sends a signal to one process of a node, unless it has ended.
+    pub(super) fn signal_process(&mut self, i: usize, record: usize, signal: Signal) {
         let node = &mut self.nodes[i];
         let current = node.process.as_mut().filter(|_| node.record == record);
         let predecessor = node.predecessors.iter_mut().find(|predecessor| predecessor.record == record);
         if let Some(process) = current.or(predecessor.map(|predecessor| &mut predecessor.process)) {
-            process.signal(Signal::CONT);
+            process.signal(signal);
+        }
+    }
+
+    /// Sends SIGTERM to a process that has a successor, again if it was sent one before; the time of its kill
+    /// counts from the first.
+    pub(super) fn terminate_process(&mut self, i: usize, record: usize, now: Time) {
+        let predecessors = self.nodes[i].predecessors.iter_mut();
+        let Some(predecessor) = predecessors.into_iter().find(|predecessor| predecessor.record == record)
+        else {
+            return;
+        };
+        predecessor.process.signal(Signal::TERM);
+        if predecessor.kill_at.is_none() {
+            predecessor.kill_at = Some(now + KILL_AFTER);
+            self.recorder.history().processes[record].terminated = Some(now);
         }
     }
 
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -9,6 +9,12 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Longest stop of a process during a handover: the protocol allows that a node is held up for this time.
+const HANDOVER_STALL_MAX: Duration = Duration::from_millis(150);
+/// Highest rate of stalled calls on a handover's link, in calls per million: each stall lasts 0.15 s, and a transfer
+/// makes several calls for each request.
+const LINK_STALL_RATE_MAX: u64 = 100_000;
+
 /// Parameters of a schedule.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduleSpec {
@@ -22,6 +28,73 @@
     pub fault_free: Duration,
     /// Number of faults that begin per second.
     pub faults_per_second: f64,
+    /// Which faults are drawn.
+    pub profile: Profile,
+}
+
+/// Mix of the faults of a schedule.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Profile {
+    /// All kinds of faults; process handovers are rare and undisturbed.
+    #[default]
+    Mixed,
+    /// Mostly process handovers, each disturbed by signals and stalls.
+    Handovers,
+}
+
+/// One of the two processes of a handover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoverSide {
+    /// The process that hands over.
+    Predecessor,
+    /// The process that takes over.
+    Successor,
+}
+
+/// A process of a handover is stopped with SIGSTOP for a short time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HandoverStall {
+    /// Process.
+    pub side: HandoverSide,
+    /// Time from the successor's start to the stop.
+    pub after: Duration,
+    /// Duration.
+    pub span: Duration,
+}
+
+/// Signals that a handover's processes get besides the first SIGTERM to the predecessor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignalSeries {
+    /// None.
+    TerminateOnce,
+    /// A second SIGTERM to the predecessor.
+    TerminateTwice {
+        /// Time after the first.
+        after: Duration,
+    },
+    /// SIGHUP to the predecessor right before its SIGTERM.
+    ReloadBeforeTerminate,
+    /// The successor is replaced by a second successor.
+    UpgradeAgain {
+        /// Time from the first successor's start to the second one's.
+        after: Duration,
+    },
+}
+
+/// A process handover with disturbances. The predecessor is killed when the time that the protocol grants after
+/// SIGTERM is over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DisturbedHandover {
+    /// Node.
+    pub node: usize,
+    /// Time from the successor's start to SIGTERM to the predecessor, whether the successor is ready or not.
+    pub terminate_after: Duration,
+    /// Further signals.
+    pub signals: SignalSeries,
+    /// Processes that are stopped meanwhile.
+    pub stalls: Vec<HandoverStall>,
+    /// Rate at which calls on the handover's link stall, in calls per million.
+    pub link_stall_rate: u64,
 }
 
 /// A fault, or an action of operators.
@@ -63,6 +136,8 @@
         /// Node.
         node: usize,
     },
+    /// A node's successor process takes over while signals and stalls disturb both processes.
+    DisturbedHandover(DisturbedHandover),
     /// A node's successor process is killed while it takes over.
     FailedUpgrade {
         /// Node.
@@ -139,7 +214,51 @@
     let (first, last) = (spec.fault_free.as_millis() as u64, spec.load_duration.as_millis() as u64);
     let at = ms(rng.random_range(first..last.max(first + 1)));
     let span = ms(rng.random_range(500..6_000));
-    PlannedFault { at, span, kind: draw_kind(spec, rng) }
+    let kind = match spec.profile {
+        Profile::Mixed => draw_kind(spec, rng),
+        Profile::Handovers => draw_kind_with_handovers(spec, rng),
+    };
+    PlannedFault { at, span, kind }
+}
+
+/// Draws mostly handovers, and what makes attempts time out, end or move meanwhile.
+fn draw_kind_with_handovers(spec: &ScheduleSpec, rng: &mut SmallRng) -> FaultKind {
+    let ms = Duration::from_millis;
+    match rng.random_range(0..100) {
+        0..45 => FaultKind::DisturbedHandover(draw_handover(spec, rng)),
+        45..52 => FaultKind::FailedUpgrade {
+            node: rng.random_range(0..spec.nodes),
+            after: ms(rng.random_range(1..200)),
+        },
+        52..75 => {
+            let mode = if rng.random_bool(0.5) { WorkerMode::Silent } else { draw_worker_mode(rng) };
+            FaultKind::Worker { worker: rng.random_range(0..spec.workers), mode }
+        }
+        _ => draw_kind(spec, rng),
+    }
+}
+
+fn draw_handover(spec: &ScheduleSpec, rng: &mut SmallRng) -> DisturbedHandover {
+    let ms = Duration::from_millis;
+    let signals = match rng.random_range(0..6) {
+        0 => SignalSeries::TerminateTwice { after: ms(rng.random_range(1..800)) },
+        1 => SignalSeries::ReloadBeforeTerminate,
+        2 => SignalSeries::UpgradeAgain { after: ms(rng.random_range(5..400)) },
+        _ => SignalSeries::TerminateOnce,
+    };
+    let stalls = (0..rng.random_range(0..3)).map(|_| HandoverStall {
+        side: if rng.random_bool(0.5) { HandoverSide::Predecessor } else { HandoverSide::Successor },
+        after: ms(rng.random_range(1..80)),
+        span: rng.random_range(ms(20)..HANDOVER_STALL_MAX),
+    });
+    let stalls = stalls.collect();
+    DisturbedHandover {
+        node: rng.random_range(0..spec.nodes),
+        terminate_after: ms(rng.random_range(20..80)),
+        signals,
+        stalls,
+        link_stall_rate: rng.random_range(0..LINK_STALL_RATE_MAX),
+    }
 }
 
 fn draw_kind(spec: &ScheduleSpec, rng: &mut SmallRng) -> FaultKind {
--- a/testbed/src/soak/shim.rs
+++ b/testbed/src/soak/shim.rs
@@ -91,6 +91,12 @@
     SyncEio,
     /// A write to a file writes fewer bytes than requested.
     WriteShort,
+    /// The process stalls before it sends a descriptor to another process.
+    StallBeforeSendmsg,
+    /// The process stalls after it has received a descriptor from another process.
+    StallAfterRecvmsg,
+    /// The process stalls before a write to a Unix socket.
+    StallBeforeLinkWrite,
 }
 
 /// Builds the shim in a folder with the C compiler. Returns the path of the library.
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -6,7 +6,7 @@
     AttemptEnd, AttemptRecord, History, ProcessRecord, RequestEnd, RequestRecord, Semantics, Withdrawal,
 };
 use testbed::soak::oracle::{check_history, Limits};
-use testbed::soak::schedule::{draw, FaultKind, ScheduleSpec};
+use testbed::soak::schedule::{draw, FaultKind, HandoverSide, Profile, ScheduleSpec, SignalSeries};
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -174,8 +174,14 @@
 #[test]
 fn seed_determines_the_schedule() {
     let load_duration = ms(400_000);
-    let spec =
-        ScheduleSpec { nodes: 12, workers: 8, load_duration, fault_free: ms(65_000), faults_per_second: 3.0 };
+    let spec = ScheduleSpec {
+        nodes: 12,
+        workers: 8,
+        load_duration,
+        fault_free: ms(65_000),
+        faults_per_second: 3.0,
+        profile: Profile::Mixed,
+    };
     let planned = draw(&spec, 7);
     assert_eq!(planned, draw(&spec, 7));
     assert_ne!(planned, draw(&spec, 8));
@@ -189,3 +195,36 @@
     assert!(includes(|kind| matches!(kind, FaultKind::Reload { .. })));
     assert!(includes(|kind| matches!(kind, FaultKind::Discovery { .. })));
 }
+
+/// The profile of handovers draws each kind of disturbance: signals in series, and stalls of either process.
+#[test]
+fn handover_profile_draws_all_disturbances() {
+    let spec = ScheduleSpec {
+        nodes: 4,
+        workers: 6,
+        load_duration: ms(100_000),
+        fault_free: ms(1_000),
+        faults_per_second: 3.0,
+        profile: Profile::Handovers,
+    };
+    let planned = draw(&spec, 7);
+    assert_eq!(planned, draw(&spec, 7));
+    let handovers: Vec<_> = planned
+        .iter()
+        .filter_map(|planned| match &planned.kind {
+            FaultKind::DisturbedHandover(handover) => Some(handover),
+            _ => None,
+        })
+        .collect();
+    assert!(handovers.len() * 3 > planned.len(), "{} of {}", handovers.len(), planned.len());
+    let signals = |is: fn(&SignalSeries) -> bool| handovers.iter().any(|handover| is(&handover.signals));
+    assert!(signals(|signals| matches!(signals, SignalSeries::TerminateOnce)));
+    assert!(signals(|signals| matches!(signals, SignalSeries::TerminateTwice { .. })));
+    assert!(signals(|signals| matches!(signals, SignalSeries::ReloadBeforeTerminate)));
+    assert!(signals(|signals| matches!(signals, SignalSeries::UpgradeAgain { .. })));
+    let stalls = || handovers.iter().flat_map(|handover| &handover.stalls);
+    for side in [HandoverSide::Predecessor, HandoverSide::Successor] {
+        assert!(stalls().any(|stall| stall.side == side), "{side:?}");
+    }
+    assert!(stalls().all(|stall| stall.span <= ms(150)), "the protocol allows no longer stall");
+}
