--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -5,6 +5,9 @@
 use testbed::soak::schedule::Profile;
 use testbed::soak::{run, Options};
 
+/// Clients of each node that connect and send nothing, in a run with a crowd.
+const IDLE_CLIENTS: usize = 150;
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn overlapping_faults_break_no_rule() {
     let options = Options {
@@ -26,3 +29,27 @@
     let met_kinds = report.injected.values().filter(|count| **count > 0).count();
     assert!(met_kinds >= 3, "too few kinds of faults were injected: {report}");
 }
+
+/// Guards against incident 9474ef: handovers under signals in series and stalls of either process, some with a crowd of
+/// idle clients, broke the rule on duplicates.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn disturbed_handovers_break_no_rule() {
+    for (seed, idle_clients) in [(502, 0), (503, 0), (504, IDLE_CLIENTS)] {
+        let options = Options {
+            binary: env!("CARGO_BIN_EXE_molevale").into(),
+            nodes: 4,
+            workers: 6,
+            load_duration: Duration::from_secs(12),
+            fault_free: Duration::from_secs(1),
+            requests_per_second: 300.0,
+            faults_per_second: 4.0,
+            profile: Profile::Handovers,
+            idle_clients,
+            seed,
+            verbose: false,
+        };
+        let report = run(options).await.unwrap();
+        assert!(report.requests > 1_000 && report.attempts > 1_000, "{report}");
+        assert!(report.violations.is_empty(), "seed {seed}: {report}\nlogs: {}", report.log_folder.display());
+    }
+}
