Close a socket for all its holders, not only this process's descriptor of it

Cause: Connection::close waited until this process had dropped its descriptor and took the connection for closed.

Change: a socket has a typed access (owned, frozen, released).

--- a/node/src/platform/pool.rs
+++ b/node/src/platform/pool.rs
@@ -45,7 +45,8 @@
     LocalResources,
 }
 
-/// A connection to a worker. Dropping it closes it soon after; [`Connection::close`] waits for that.
+/// A connection to a worker. Dropping it shuts its socket down, unless another process owns that; the descriptor is
+/// closed soon after, and [`Connection::close`] waits for that.
 pub struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
@@ -67,8 +68,9 @@
 }
 
 impl Connection {
-    /// Closes the connection; the socket is closed when this returns.
+    /// Closes the connection. The worker sees the end when this returns, whoever else holds the socket.
     pub async fn close(mut self) {
+        self.socket_handle.close();
         self.driver.abort();
         // An aborted task returns an error; it matters only that it has ended.
         let _ = (&mut self.driver).await;
@@ -84,6 +86,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.socket_handle.close();
         self.driver.abort();
     }
 }
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -1,5 +1,8 @@
 //! TCP socket that can be transferred to another process while in use. Reads and writes of this process can
 //! be frozen at any time, and bytes that were read before a transfer are replayed first after it.
+//!
+//! Two processes may hold a socket during a transfer. Closing it therefore shuts it down first, so that its peer sees
+//! the end at once; the process that does not own it drops its descriptor without that.
 
 use crate::transient::{self, FailureBackoff, Retry, IMMEDIATE_RETRIES, RETRY_PAUSE};
 use futures_util::FutureExt;
@@ -17,9 +20,23 @@
 /// Polling interval for the end of a stream that may be hidden behind unread bytes.
 const PEER_CLOSED_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// What this process may do with a socket.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Access {
+    /// It owns the socket.
+    #[default]
+    Owned,
+    /// The owner is undecided: reads, writes and closes wait.
+    Frozen,
+    /// Another process owns the socket; this one only drops its descriptor.
+    Released,
+}
+
 #[derive(Default)]
 struct State {
-    is_frozen: bool,
+    access: Access,
+    /// Whether another process may hold the socket, too.
+    is_shared: bool,
     /// Bytes that are returned before those of the socket.
     replay: Vec<u8>,
     read: Direction,
@@ -97,7 +114,7 @@
     pub fn received(socket: OwnedFd, replay: Vec<u8>) -> io::Result<Socket> {
         let stream = std::net::TcpStream::from(socket);
         stream.set_nonblocking(true)?;
-        let state = Mutex::new(State { replay, ..State::default() });
+        let state = Mutex::new(State { replay, is_shared: true, ..State::default() });
         Ok(Socket(Arc::new(Inner { stream: TcpStream::from_std(stream)?, state })))
     }
 
@@ -112,6 +129,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Ends the connection for all holders of the socket, if this process owns it.
+    fn shut_down(&self) {
+        if self.state().access == Access::Owned {
+            // Fails if the peer has already ended the connection.
+            let _ = shutdown(&self.stream, Shutdown::Both);
+        }
+    }
+
     /// Peeks at one byte; 0 means the end of the stream.
     fn peek(&self, flags: RecvFlags) -> rustix::io::Result<usize> {
         Ok(recv(&self.stream, &mut [0u8; 1][..], RecvFlags::PEEK | flags)?.1)
@@ -119,15 +144,32 @@
 }
 
 impl SocketHandle {
-    /// Suspends all reads and writes until [`Self::thaw`].
+    /// Suspends all reads, writes and closes until [`Self::thaw`], because the socket is passed to another process.
     pub fn freeze(&self) {
-        self.0.state().is_frozen = true;
+        let mut state = self.0.state();
+        (state.access, state.is_shared) = (Access::Frozen, true);
+    }
+
+    /// Gives the socket up: another process owns it.
+    pub fn release(&self) {
+        self.0.state().access = Access::Released;
+    }
+
+    /// Ends the connection for all holders of the socket: its peer sees the end when this returns, whoever still
+    /// holds a descriptor. No effect if another process owns the socket or the owner is undecided.
+    pub fn close(&self) {
+        self.0.shut_down();
+    }
+
+    /// Number of bytes ever written to the socket by all its holders; `None` if the kernel does not say.
+    pub fn bytes_written(&self) -> Option<u64> {
+        tcp_info::bytes_written(&self.0.stream).ok()
     }
 
     /// Resumes reads and writes.
     pub fn thaw(&self) {
         let mut state = self.0.state();
-        state.is_frozen = false;
+        state.access = Access::Owned;
         let wakers = [state.read.waker.take(), state.write.waker.take()];
         wakers.into_iter().flatten().for_each(Waker::wake);
     }
@@ -171,7 +213,7 @@
     }
 
     /// Waits until the peer has closed, half-closed or reset the connection, even behind unread bytes. While
-    /// the socket is frozen this does not return, because the receiving process has to detect the close.
+    /// this process does not own the socket this does not return: the owner has to detect the close.
     pub async fn peer_closed(&self) {
         loop {
             let is_closed = match self.0.stream.ready(Interest::READABLE).await {
@@ -188,7 +230,7 @@
                 }
                 Err(_) => true,
             };
-            if is_closed && !self.0.state().is_frozen {
+            if is_closed && self.0.state().access == Access::Owned {
                 return;
             }
             sleep(PEER_CLOSED_POLL_INTERVAL).await;
@@ -206,11 +248,20 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        let is_shared = self.0.state().is_shared;
+        if is_shared {
+            self.0.shut_down();
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         {
             let mut state = self.0.state();
-            if state.is_frozen {
+            if state.access != Access::Owned {
                 state.read.waker = Some(cx.waker().clone());
                 return Poll::Pending;
             }
@@ -239,7 +290,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         {
             let mut state = self.0.state();
-            if state.is_frozen {
+            if state.access != Access::Owned {
                 state.write.waker = Some(cx.waker().clone());
                 return Poll::Pending;
             }
@@ -263,7 +314,7 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         let mut state = self.0.state();
-        if state.is_frozen {
+        if state.access != Access::Owned {
             state.write.waker = Some(cx.waker().clone());
             return Poll::Pending;
         }
