--- a/node/src/dispatcher/frontend.rs
+++ b/node/src/dispatcher/frontend.rs
@@ -71,15 +71,15 @@
     /// Reports that the request was accepted and not answered at once.
     fn accepted(&mut self, _job: &Self::Job) {}
 
-    /// Freezes a job with its running attempt for the transfer to another process, if both can be transferred.
-    /// Neither makes progress here until [`Handle::transferred`](super::Handle::transferred) is called, or they are
-    /// thawed.
+    /// Freezes a job with its running attempt, to be offered to another process, if both can be transferred. Neither
+    /// makes progress here until [`Handle::transferred`](super::Handle::transferred) is called, or they are thawed;
+    /// an outcome of the attempt is reported only after that.
     fn freeze_for_transfer(
         &mut self,
-        _attempt_id: AttemptId,
         _sent: &AttemptStart,
         _job: &Self::Job,
         _attempt: &Self::Attempt,
+        _takes_claims: bool,
     ) {
     }
 
--- a/node/src/dispatcher/mod.rs
+++ b/node/src/dispatcher/mod.rs
@@ -124,11 +124,9 @@
             | DispatcherEvent::Started(_)
             | DispatcherEvent::Progress(..) => {}
             DispatcherEvent::Ended(end) => self.attempt_ended(end),
-            DispatcherEvent::Endpoints { entries, full: true } => {
-                self.notify_policy(Event::EndpointList(entries));
-            }
-            DispatcherEvent::Endpoints { entries, full: false } => {
-                self.notify_policy(Event::EndpointChanges(entries));
+            DispatcherEvent::Endpoints { entries, full } => {
+                let event = if full { Event::EndpointList(entries) } else { Event::EndpointChanges(entries) };
+                self.notify_policy(event);
             }
             DispatcherEvent::EndpointListFailed => self.notify_policy(Event::EndpointWatchFailed),
             DispatcherEvent::Settings { settings, inherits_from } => {
@@ -141,9 +139,12 @@
             DispatcherEvent::ProbeEnded(worker, responded, report) => {
                 self.notify_policy(Event::ProbeEnded { worker, responded, report });
             }
-            DispatcherEvent::FreezeTransferable(reply) => {
-                self.freeze_transferable();
-                let _ = reply.send(()); // fails if the caller no longer waits
+            DispatcherEvent::ListTransferable(reply) => {
+                let _ = reply.send(self.transferable()); // fails if the caller no longer waits
+            }
+            DispatcherEvent::FreezeForTransfer { attempt_id, takes_claims, done } => {
+                self.freeze_for_transfer(attempt_id, takes_claims);
+                let _ = done.send(()); // fails if the caller no longer waits
             }
             DispatcherEvent::Transferred(attempt_id) => self.transferred(attempt_id),
         }
--- a/node/src/dispatcher/queue.rs
+++ b/node/src/dispatcher/queue.rs
@@ -40,7 +40,12 @@
     },
     PeerRates(u32, Vec<u8>),
     ProbeEnded(WorkerId, bool, Option<LoadReport>),
-    FreezeTransferable(oneshot::Sender<()>),
+    ListTransferable(oneshot::Sender<Vec<AttemptId>>),
+    FreezeForTransfer {
+        attempt_id: AttemptId,
+        takes_claims: bool,
+        done: oneshot::Sender<()>,
+    },
     Transferred(AttemptId),
 }
 
@@ -77,12 +82,19 @@
         self.next_request_id.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Lets the frontend freeze all jobs with a running attempt that can be transferred to another process. Returns
-    /// once they are frozen.
-    pub async fn freeze_transferable(&self) {
-        let (reply, done) = oneshot::channel();
-        self.push(DispatcherEvent::FreezeTransferable(reply));
-        let _ = done.await; // fails if the dispatcher has ended and so has no requests
+    /// Running attempts whose requests may be transferred to another process.
+    pub async fn transferable(&self) -> Vec<AttemptId> {
+        let (reply, attempts) = oneshot::channel();
+        self.push(DispatcherEvent::ListTransferable(reply));
+        attempts.await.unwrap_or_default() // fails if the dispatcher has ended and so has no requests
+    }
+
+    /// Lets the frontend freeze the request of this attempt, if it still runs, to be offered to another process that
+    /// takes claims or not. Returns once that is done.
+    pub async fn freeze_for_transfer(&self, attempt_id: AttemptId, takes_claims: bool) {
+        let (done, is_done) = oneshot::channel();
+        self.push(DispatcherEvent::FreezeForTransfer { attempt_id, takes_claims, done });
+        let _ = is_done.await; // fails if the dispatcher has ended and so has no requests
     }
 
     /// Reports that another process continues this attempt and its request.
--- a/node/src/dispatcher/requests.rs
+++ b/node/src/dispatcher/requests.rs
@@ -150,24 +150,42 @@
         self.remove_if_finished(id);
     }
 
-    /// Lets the frontend freeze the jobs with a running attempt that can be transferred to another process.
-    pub(super) fn freeze_transferable(&mut self) {
-        for (id, entry) in self.requests.iter() {
-            // The transfer carries no more than a first attempt: after a retry, the decision module's state would
-            // be lost.
-            let (Some(job), Some(attempt), Some(sent), 1) =
-                (&entry.job, entry.attempt.running(), &entry.last_attempt, entry.attempts)
-            else {
-                continue;
-            };
-            self.frontend.freeze_for_transfer(AttemptId { request: *id, attempt: 0 }, sent, job, attempt);
+    /// Running attempts whose requests may be transferred to another process. The transfer carries no more than a
+    /// first attempt: after a retry, the decision module's state would be lost.
+    pub(super) fn transferable(&self) -> Vec<AttemptId> {
+        let first_attempts = self.requests.iter().filter(|(_, entry)| {
+            entry.attempts == 1 && entry.job.is_some() && entry.attempt.running().is_some()
+        });
+        first_attempts.map(|(id, _)| AttemptId { request: *id, attempt: 0 }).collect()
+    }
+
+    /// Lets the frontend freeze the request of an attempt that still runs.
+    pub(super) fn freeze_for_transfer(&mut self, attempt_id: AttemptId, takes_claims: bool) {
+        if !self.requests.is_in_flight(attempt_id) {
+            return;
         }
+        let Some(entry) = self.requests.get(attempt_id.request) else { return };
+        let (Some(job), Some(attempt), Some(sent)) =
+            (&entry.job, entry.attempt.running(), &entry.last_attempt)
+        else {
+            return;
+        };
+        self.frontend.freeze_for_transfer(sent, job, attempt, takes_claims);
     }
 
-    /// Removes a request without an answer because another process continues its attempt.
+    /// Removes a request without an answer because another process continues this attempt.
     pub(super) fn transferred(&mut self, attempt_id: AttemptId) {
+        if !self.requests.is_in_flight(attempt_id) {
+            let AttemptId { request, attempt } = attempt_id;
+            log::error!(event = "ended_attempt_transferred", request, attempt;
+                "transfer of an attempt that has ended; its request stays");
+            return;
+        }
         let Some(entry) = self.remove(attempt_id.request) else { return };
-        self.counters.transferred_out.add();
+        // A client that has left is already counted.
+        if entry.job.is_some() {
+            self.counters.transferred_out.add();
+        }
         if let AttemptState::Running(attempt) = entry.attempt {
             self.frontend.stop(attempt, Outcome::Cancelled);
         }
--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -135,7 +135,8 @@
             // The sender is dropped without a value when the dispatcher ends.
             outcome = stop => AttemptEnd::without_response(outcome.unwrap_or(Outcome::Cancelled)),
         };
-        if request.shared.is_transferred.load(Ordering::Relaxed) {
+        // An outcome that comes while the request is offered to another process waits for the decision.
+        if !request.shared.ownership.end_attempt().await {
             return; // another process continues the attempt and reports its outcome
         }
         self.report(request, connection, end).await;
--- a/node/src/platform/job_handover.rs
+++ b/node/src/platform/job_handover.rs
@@ -2,19 +2,19 @@
 //! worker, and replays the request and the response so far into its own connections.
 
 use super::monitored_stream::MessageMonitor;
+use super::request_ownership::RequestOwnership;
 use super::request_progress::SharedProgress;
 use super::socket::SocketHandle;
 use super::Job;
-use crate::dispatcher::{AttemptStart, Handle};
+use crate::dispatcher::{AttemptId, AttemptStart};
 use crate::names::Names;
-use crate::process_handover::FrozenJob;
 use bytes::Bytes;
 use dispatch_policy::api::{Outcome, Request, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
@@ -29,8 +29,37 @@
     pub message_monitor: MessageMonitor,
     /// Notified when the connection was transferred, or its client has disconnected.
     pub finished: Arc<Notify>,
-    /// Whether the connection belongs to another process now.
-    pub is_transferred: Arc<AtomicBool>,
+    /// Owner of its request, once that was offered to another process.
+    transfer: Arc<Mutex<Option<RequestOwnership>>>,
+}
+
+impl ClientHandle {
+    /// Creates the handle to a connection with this socket.
+    pub fn new(socket_handle: SocketHandle, message_monitor: MessageMonitor) -> ClientHandle {
+        ClientHandle { socket_handle, message_monitor, finished: Arc::default(), transfer: Arc::default() }
+    }
+
+    /// Records that its request is offered to another process.
+    pub fn begin_transfer(&self, ownership: RequestOwnership) {
+        *self.transfer.lock().unwrap_or_else(PoisonError::into_inner) = Some(ownership);
+    }
+
+    fn transfer(&self) -> Option<RequestOwnership> {
+        self.transfer.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whether its request belongs to another process.
+    pub fn is_elsewhere(&self) -> bool {
+        self.transfer().is_some_and(|ownership| ownership.owner().is_elsewhere())
+    }
+
+    /// Waits until it is decided which process answers its request; returns whether this one does.
+    pub async fn may_answer(&self) -> bool {
+        match self.transfer() {
+            Some(ownership) => ownership.may_answer().await,
+            None => true,
+        }
+    }
 }
 
 /// The dispatcher's handle to an attempt.
@@ -42,16 +71,26 @@
 }
 
 /// State of an attempt that the dispatcher reads and sets while the attempt runs.
-#[derive(Default)]
 pub struct SharedAttempt {
+    /// Owner of the attempt and its request.
+    pub ownership: RequestOwnership,
     /// Socket, progress and worker address of the connection, once there is one.
     pub connection: Mutex<Option<(SocketHandle, SharedProgress, SocketAddr)>>,
-    /// Whether another process continues the attempt and reports its outcome.
-    pub is_transferred: AtomicBool,
     /// Whether the client has disconnected: the request need not be sent any more.
     pub is_abandoned: AtomicBool,
 }
 
+impl SharedAttempt {
+    /// Creates the state of an attempt that has no connection yet.
+    pub fn new(attempt_id: AttemptId) -> SharedAttempt {
+        SharedAttempt {
+            ownership: RequestOwnership::new(attempt_id),
+            connection: Mutex::default(),
+            is_abandoned: AtomicBool::default(),
+        }
+    }
+}
+
 /// A running request as it is sent to another process, apart from its two sockets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TransferredJob {
@@ -92,13 +131,13 @@
 }
 
 impl TransferredJob {
-    /// Freezes a running request and collects its state, if it can be transferred.
-    pub fn freeze(
+    /// Collects the state of a running request, and the socket of its worker, if it can be transferred.
+    pub fn collect(
         start: &AttemptStart,
         job: &Job,
         attempt: &AttemptHandle,
         names: &Names,
-    ) -> Option<(TransferredJob, SocketHandle, SocketHandle)> {
+    ) -> Option<(TransferredJob, SocketHandle)> {
         let client = job.client.as_ref()?;
         let connection = attempt.shared.connection.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let (socket_handle, progress, address) = connection?;
@@ -138,13 +177,11 @@
             ),
             response,
         };
-        client.socket_handle.freeze();
-        socket_handle.freeze();
-        Some((transferred, client.socket_handle.clone(), socket_handle))
+        Some((transferred, socket_handle))
     }
 
     /// Adjusts the durations after this delay.
-    fn delayed_by(mut self, delay: Duration) -> TransferredJob {
+    pub fn delayed_by(mut self, delay: Duration) -> TransferredJob {
         self.time_left = self.time_left.saturating_sub(delay);
         let (_, _, since_sent, since_started) = &mut self.worker;
         *since_sent += delay;
@@ -197,35 +234,3 @@
         TransferredAttempt { socket, address, response: self.response.clone(), start }
     }
 }
-
-/// Prepares the transfer of a frozen request, and what happens to the request here when the transfer ends.
-pub fn frozen_job(
-    handle: &Handle<Job>,
-    attempt_id: crate::dispatcher::AttemptId,
-    job: &Job,
-    attempt: &AttemptHandle,
-    (transferred, client, worker): (TransferredJob, SocketHandle, SocketHandle),
-) -> Option<FrozenJob> {
-    let client_handle = job.client.as_ref()?;
-    let (handle, shared, finished) = (handle.clone(), attempt.shared.clone(), client_handle.finished.clone());
-    let is_client_transferred = client_handle.is_transferred.clone();
-    let socket_handles = [client, worker];
-    let finish = {
-        let socket_handles = socket_handles.clone();
-        Box::new(move |is_accepted: bool| {
-            if is_accepted {
-                shared.is_transferred.store(true, Ordering::Relaxed);
-                is_client_transferred.store(true, Ordering::Relaxed);
-                handle.transferred(attempt_id);
-                finished.notify_one();
-            } else {
-                socket_handles.iter().for_each(SocketHandle::thaw);
-            }
-        })
-    };
-    // Requests are transferred one after the other: the time since the freeze is deducted from the time left
-    // to the client, which further attempts also pass on.
-    let (frozen_at, transferred) = (Instant::now(), transferred);
-    let to_json = Box::new(move || serde_json::to_string(&transferred.delayed_by(frozen_at.elapsed())).ok());
-    Some(FrozenJob { to_json, sockets: socket_handles, finish })
-}
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -10,10 +10,12 @@
 mod in_flight_ids;
 mod job_handover;
 pub mod monitored_stream;
+mod offered_request;
 pub mod peers;
 mod pool;
 mod probe;
 mod rate_gossip;
+mod request_ownership;
 pub mod request_progress;
 pub mod resource_budget;
 mod send_guard;
@@ -77,6 +79,8 @@
     fields: Request,
     /// Connection of its client.
     client: Option<job_handover::ClientHandle>,
+    /// Whether the predecessor has transferred it.
+    is_adopted: bool,
     /// Attempt that the predecessor started, until this process continues it.
     adopted: Mutex<Option<TransferredAttempt>>,
     reply: oneshot::Sender<Answer>,
--- a/node/src/platform/resource_budget.rs
+++ b/node/src/platform/resource_budget.rs
@@ -4,14 +4,16 @@
 
 use super::connection_slots::ConnectionSlots;
 use super::in_flight_ids::InFlightIds;
+use super::offered_request::PlatformOffer;
 use super::pool::Pool;
+use super::transport::OfferExchange;
 use super::Job;
 use crate::config::Limits;
 use crate::counters::{Counters, ResourceUsage};
-use crate::dispatcher::Handle;
+use crate::dispatcher::{AttemptId, Handle};
 use crate::endpoint_list::EndpointList;
 use crate::names::Names;
-use crate::process_handover::{FrozenJob, HandoverSource, HeldResources, NodeState};
+use crate::process_handover::{HandoverSource, HeldResources, NodeState};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Semaphore;
 
@@ -65,8 +67,8 @@
 pub struct ResourceBudget {
     /// Handle to the dispatcher, to freeze requests for the successor.
     dispatcher: Handle<Job>,
-    /// Frozen requests that were collected for the successor.
-    pub frozen_jobs: Arc<Mutex<Vec<FrozenJob>>>,
+    /// Requests that are frozen for the successor.
+    pub offers: Arc<OfferExchange>,
     /// Connection slots for clients.
     pub client_slots: Arc<ConnectionSlots>,
     /// Slots for connections that are only rejected.
@@ -95,7 +97,7 @@
         let allocation = Allocation::new(limits, other_process);
         ResourceBudget {
             dispatcher,
-            frozen_jobs: Arc::default(),
+            offers: Arc::default(),
             client_slots: ConnectionSlots::new(allocation.clients),
             rejection_slots: Arc::new(Semaphore::new(REJECTION_SLOTS)),
             pool: Arc::new(Pool::new(allocation.workers, names, counters)),
@@ -158,9 +160,11 @@
 }
 
 impl HandoverSource for ResourceBudget {
+    type Request = PlatformOffer;
+
     fn node_state(&self) -> NodeState {
         let endpoint_list = self.latest_list.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        NodeState { endpoint_list, in_flight_ids: self.in_flight_ids.to_strings() }
+        NodeState { endpoint_list, in_flight_ids: self.in_flight_ids.to_strings(), offers_claims: true }
     }
 
     fn held_resources(&self) -> HeldResources {
@@ -176,8 +180,12 @@
         self.pool.close_idle();
     }
 
-    async fn freeze_jobs(&self) -> Vec<FrozenJob> {
-        self.dispatcher.freeze_transferable().await;
-        std::mem::take(&mut *self.frozen_jobs.lock().unwrap_or_else(PoisonError::into_inner))
+    async fn transferable(&self) -> Vec<AttemptId> {
+        self.dispatcher.transferable().await
+    }
+
+    async fn offer(&self, attempt_id: AttemptId, takes_claims: bool) -> Option<PlatformOffer> {
+        self.dispatcher.freeze_for_transfer(attempt_id, takes_claims).await;
+        self.offers.take()
     }
 }
--- a/node/src/platform/server/connection.rs
+++ b/node/src/platform/server/connection.rs
@@ -15,9 +15,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
 /// Maximum size of a connection's buffers for request heads and answers, in bytes. Bodies are read in chunks
@@ -63,12 +62,7 @@
         accept_delay: Duration,
     ) -> ClientConnection {
         let monitor = stream.monitor();
-        let client = job_handover::ClientHandle {
-            socket_handle: stream.get_ref().socket_handle(),
-            message_monitor: monitor.clone(),
-            finished: Arc::new(Notify::new()),
-            is_transferred: Arc::default(),
-        };
+        let client = job_handover::ClientHandle::new(stream.get_ref().socket_handle(), monitor.clone());
         let adopted = Mutex::new(adopted);
         ClientConnection { monitor, slot, client, request_count: AtomicU64::new(0), adopted, accept_delay }
     }
--- a/node/src/platform/server/request.rs
+++ b/node/src/platform/server/request.rs
@@ -20,7 +20,6 @@
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use tokio::sync::{oneshot, SemaphorePermit};
 use tokio::time::{timeout_at, Instant};
@@ -131,6 +130,7 @@
             body,
             fields,
             client: Some(connection.client.clone()),
+            is_adopted: adopted.is_some(),
             adopted: Mutex::new(adopted),
             reply,
         };
@@ -252,6 +252,9 @@
                 std::future::pending().await
             }
         };
+        if !connection.may_answer().await {
+            std::future::pending::<()>().await; // the connection is dropped, because another process answers
+        }
         self.client.is_waiting = false;
         response::for_answer(answer.ok())
     }
@@ -272,8 +275,7 @@
         if !self.is_waiting {
             return;
         }
-        let was_transferred = self.connection.is_transferred.load(Ordering::Relaxed);
-        if !was_transferred && !self.connection.socket_handle.is_peer_closed() {
+        if !self.connection.is_elsewhere() && !self.connection.socket_handle.is_peer_closed() {
             self.counters.violations.add(Invariant::Answered, self.id);
         }
         self.handle.client_left(self.id);
--- a/node/src/platform/startup.rs
+++ b/node/src/platform/startup.rs
@@ -24,6 +24,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -160,7 +161,7 @@
             names: self.names.clone(),
             counters: self.counters.clone(),
         });
-        let transport = PlatformTransport::new(runner, self.budget.frozen_jobs.clone(), rate_publisher);
+        let transport = PlatformTransport::new(runner, self.budget.offers.clone(), rate_publisher);
         let settings = platform_settings(self.settings.clone(), &self.initial_names, None);
         let dispatcher = Dispatcher::new(settings, self.seed, transport, self.counters.clone());
         let dispatcher = dispatcher.map_err(Error::Settings)?;
@@ -237,6 +238,8 @@
             Some((id, reservation))
         });
         let mut reserved_ids: HashMap<String, Arc<InFlightId>> = reserved_ids.collect();
+        let offers = server.budget.offers.clone();
+        offers.has_predecessor.store(true, Ordering::Relaxed);
         tokio::spawn(async move {
             self.link
                 .run(
@@ -244,6 +247,7 @@
                     |record, sockets| server.adopt_request(record, sockets, &mut reserved_ids),
                 )
                 .await;
+            offers.has_predecessor.store(false, Ordering::Relaxed);
         });
     }
 }
--- a/node/src/platform/transport.rs
+++ b/node/src/platform/transport.rs
@@ -1,22 +1,42 @@
 //! Executes the dispatcher's decisions towards workers, clients and other nodes.
 
 use super::attempt::{AttemptRequest, AttemptRunner};
-use super::job_handover::{self, AttemptHandle, SharedAttempt, TransferredJob};
+use super::job_handover::{AttemptHandle, SharedAttempt, TransferredJob};
+use super::offered_request::PlatformOffer;
 use super::rate_gossip::RatePublisher;
 use super::{probe, Job};
 use crate::dispatcher::{Answer, AttemptId, AttemptStart, Frontend};
-use crate::process_handover::FrozenJob;
 use dispatch_policy::api::{Outcome, WorkerId};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// Where the dispatcher's task leaves a frozen request for the handover.
+#[derive(Default)]
+pub struct OfferExchange {
+    /// The request that was frozen last, until the handover takes it.
+    frozen: Mutex<Option<PlatformOffer>>,
+    /// Whether the predecessor of this process may live: it watches the requests that it transferred, so they are not
+    /// passed on to a third process.
+    pub has_predecessor: AtomicBool,
+}
+
+impl OfferExchange {
+    /// Takes the request that was frozen last.
+    pub fn take(&self) -> Option<PlatformOffer> {
+        self.frozen.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    fn put(&self, offer: Option<PlatformOffer>) {
+        *self.frozen.lock().unwrap_or_else(PoisonError::into_inner) = offer;
+    }
+}
+
 /// Implementation of [`Frontend`] for the platform's protocol.
 pub struct PlatformTransport {
     runner: Arc<AttemptRunner>,
-    /// Frozen requests that were collected for the successor.
-    frozen_jobs: Arc<Mutex<Vec<FrozenJob>>>,
+    offers: Arc<OfferExchange>,
     rate_publisher: Option<RatePublisher>,
 }
 
@@ -24,10 +44,10 @@
     /// Creates a transport that runs attempts with this runner.
     pub fn new(
         runner: Arc<AttemptRunner>,
-        frozen_jobs: Arc<Mutex<Vec<FrozenJob>>>,
+        offers: Arc<OfferExchange>,
         rate_publisher: Option<RatePublisher>,
     ) -> PlatformTransport {
-        PlatformTransport { runner, frozen_jobs, rate_publisher }
+        PlatformTransport { runner, offers, rate_publisher }
     }
 }
 
@@ -43,7 +63,7 @@
         deadline: Instant,
     ) -> Self::Attempt {
         let (stop, stop_receiver) = oneshot::channel();
-        let shared = Arc::new(SharedAttempt::default());
+        let shared = Arc::new(SharedAttempt::new(attempt_id));
         let request = AttemptRequest {
             attempt_id,
             worker,
@@ -75,16 +95,26 @@
 
     fn freeze_for_transfer(
         &mut self,
-        attempt_id: AttemptId,
         sent: &AttemptStart,
         job: &Job,
         attempt: &AttemptHandle,
+        takes_claims: bool,
     ) {
-        let transferred = TransferredJob::freeze(sent, job, attempt, &self.runner.names.borrow());
-        let frozen_job = transferred.and_then(|transferred| {
-            job_handover::frozen_job(&self.runner.handle, attempt_id, job, attempt, transferred)
+        let is_watched = job.is_adopted && self.offers.has_predecessor.load(Ordering::Relaxed);
+        let client = job.client.clone().filter(|_| !is_watched);
+        let offer = client.and_then(|client| {
+            let (transferred, worker) =
+                TransferredJob::collect(sent, job, attempt, &self.runner.names.borrow())?;
+            PlatformOffer::freeze(
+                self.runner.handle.clone(),
+                attempt.shared.ownership.clone(),
+                client,
+                worker,
+                (transferred, sent.deadline),
+                takes_claims,
+            )
         });
-        self.frozen_jobs.lock().unwrap_or_else(PoisonError::into_inner).extend(frozen_job);
+        self.offers.put(offer);
     }
 
     fn answer(&mut self, job: Job, answer: Answer) {
--- a/node/src/process_handover/link.rs
+++ b/node/src/process_handover/link.rs
@@ -1,5 +1,9 @@
 //! Link between the two processes of a handover: lines of text, and descriptors attached to single bytes.
+//!
+//! Errors that pass, such as an interrupted call, are retried here: each process takes the end of the link for the end
+//! of the other one.
 
+use crate::transient::{transfer_retry, Retry, RETRY_PAUSE};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -8,21 +12,28 @@
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Interest};
+use tokio::io::Interest;
 use tokio::net::UnixStream;
+use tokio::time::sleep;
 
 /// Byte to which descriptors are attached.
 const DESCRIPTORS_TAG: &[u8] = b"D";
 /// Byte before a report of held resources, where the receiver also expects descriptors.
 const HELD_RESOURCES_TAG: &[u8] = b"H";
+/// Maximum number of descriptors that are attached to one byte: two sockets and a claim.
+const DESCRIPTORS_MAX: usize = 3;
+/// Size of one read, in bytes.
+const READ_SIZE: usize = 4096;
 
 /// Message from the new process to the old one: one line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Message {
     /// The new process serves: the old one must accept nothing new.
     Serving,
-    /// The new process is ready to continue running requests.
+    /// The new process is ready to continue running requests, but cannot take claims.
     Ready,
+    /// The new process is ready to continue running requests, and takes their claims.
+    ReadyToClaim,
     /// The new process continues the transferred request.
     JobAccepted,
     /// The new process does not continue the request, which remains in the old one.
@@ -30,86 +41,144 @@
 }
 
 impl Message {
-    /// Whether a line is this message.
-    pub fn matches(self, line: &str) -> bool {
-        self.text() == line
+    /// The message of a line; `None` if it is none.
+    pub fn parse(line: &str) -> Option<Message> {
+        let all = [
+            Message::Serving,
+            Message::Ready,
+            Message::ReadyToClaim,
+            Message::JobAccepted,
+            Message::JobRejected,
+        ];
+        all.into_iter().find(|message| message.text() == line)
     }
 
     fn text(self) -> &'static str {
         match self {
             Message::Serving => "serving",
             Message::Ready => "ready",
+            Message::ReadyToClaim => "ready claims",
             Message::JobAccepted => "ok",
             Message::JobRejected => "no",
         }
     }
 }
 
-/// One end of the link.
-pub struct Link(BufReader<UnixStream>);
+/// Whether an error of the link proves that the other process has ended, or has closed its end.
+pub fn is_end_of_link(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::UnexpectedEof | ErrorKind::BrokenPipe | ErrorKind::ConnectionReset)
+}
+
+/// One end of the link. Receiving may be cancelled without loss; sending must be completed.
+pub struct Link {
+    stream: UnixStream,
+    /// Bytes that were received and not consumed.
+    buffer: Vec<u8>,
+}
 
 impl Link {
     pub fn new(stream: UnixStream) -> Link {
-        Link(BufReader::new(stream))
+        Link { stream, buffer: Vec::new() }
     }
 
     pub async fn send(&mut self, message: Message) -> io::Result<()> {
-        self.0.get_mut().write_all(format!("{}\n", message.text()).as_bytes()).await
+        self.send_line(message.text()).await
+    }
+
+    /// Receives a message, and fails if the line is none.
+    pub async fn receive(&mut self) -> io::Result<Message> {
+        Message::parse(&self.read_line().await?).ok_or(ErrorKind::InvalidData.into())
     }
 
     /// Receives a message, and fails if it is not the expected one.
     pub async fn expect(&mut self, expected: Message) -> io::Result<()> {
-        match self.read_line().await? {
-            line if expected.matches(&line) => Ok(()),
+        match self.receive().await? {
+            message if message == expected => Ok(()),
             _ => Err(ErrorKind::InvalidData.into()),
         }
     }
 
     /// Sends a value as a line of JSON.
     pub async fn send_json(&mut self, value: &impl Serialize) -> io::Result<()> {
-        let mut text = serde_json::to_vec(value)?;
-        text.push(b'\n');
-        self.0.get_mut().write_all(&text).await
+        self.send_line(&serde_json::to_string(value)?).await
     }
 
     /// Sends a report of held resources while the receiver expects either descriptors or a report.
     pub async fn send_held_resources(&mut self, held: &impl Serialize) -> io::Result<()> {
-        self.0.get_mut().write_all(HELD_RESOURCES_TAG).await?;
+        self.write_all(HELD_RESOURCES_TAG).await?;
         self.send_json(held).await
     }
 
     pub async fn send_line(&mut self, line: &str) -> io::Result<()> {
-        self.0.get_mut().write_all(format!("{line}\n").as_bytes()).await
+        self.write_all(format!("{line}\n").as_bytes()).await
+    }
+
+    async fn write_all(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        let stream = &self.stream;
+        while !bytes.is_empty() {
+            let written = retried(stream, Interest::WRITABLE, || stream.try_write(bytes)).await?;
+            bytes = &bytes[written..];
+        }
+        Ok(())
     }
 
     pub async fn read_line(&mut self) -> io::Result<String> {
-        let mut text = String::new();
-        self.0.read_line(&mut text).await?;
-        match text.strip_suffix('\n') {
-            Some(line) => Ok(line.to_string()),
-            None => Err(ErrorKind::UnexpectedEof.into()),
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.drain(..=end).take(end).collect();
+                return String::from_utf8(line).map_err(|_| ErrorKind::InvalidData.into());
+            }
+            let mut bytes = [0; READ_SIZE];
+            let stream = &self.stream;
+            match retried(stream, Interest::READABLE, || stream.try_read(&mut bytes)).await? {
+                0 => return Err(ErrorKind::UnexpectedEof.into()),
+                length => self.buffer.extend_from_slice(&bytes[..length]),
+            }
         }
     }
 
     pub async fn send_descriptors(&self, descriptors: &[BorrowedFd<'_>]) -> io::Result<()> {
-        let stream = self.0.get_ref();
-        stream.async_io(Interest::WRITABLE, || send_descriptors(stream, descriptors)).await
+        let stream = &self.stream;
+        let send = || stream.try_io(Interest::WRITABLE, || send_descriptors(stream, descriptors));
+        retried(stream, Interest::WRITABLE, send).await
     }
 
-    /// Receives one byte and the descriptors attached to it. A buffered byte has none: the sockets of a
+    /// Receives one byte and the descriptors attached to it. A buffered byte has none: the descriptors of a
     /// request are attached to its first byte, and nothing follows a request before its reply.
     pub async fn receive_descriptors(&mut self) -> io::Result<Vec<OwnedFd>> {
-        if !self.0.buffer().is_empty() {
-            self.0.consume(1);
+        if !self.buffer.is_empty() {
+            self.buffer.remove(0);
             return Ok(Vec::new());
         }
-        let stream = self.0.get_ref();
-        stream.async_io(Interest::READABLE, || receive_descriptors(stream)).await
+        let stream = &self.stream;
+        let receive = || stream.try_io(Interest::READABLE, || receive_descriptors(stream));
+        retried(stream, Interest::READABLE, receive).await
+    }
+}
+
+/// Makes a call once the stream is ready, and again after an error that passes.
+async fn retried<T>(
+    stream: &UnixStream,
+    interest: Interest,
+    mut call: impl FnMut() -> io::Result<T>,
+) -> io::Result<T> {
+    loop {
+        stream.ready(interest).await?;
+        let error = match call() {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
+            Err(error) => error,
+            Ok(done) => return Ok(done),
+        };
+        match transfer_retry(&error) {
+            Some(Retry::Immediately) => {}
+            Some(Retry::AfterPause) => sleep(RETRY_PAUSE).await,
+            None => return Err(error),
+        }
     }
 }
 
 fn send_descriptors(stream: &UnixStream, descriptors: &[BorrowedFd]) -> io::Result<()> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(DESCRIPTORS_MAX))];
     let mut control = SendAncillaryBuffer::new(&mut space);
     control.push(SendAncillaryMessage::ScmRights(descriptors));
     sendmsg(stream, &[IoSlice::new(DESCRIPTORS_TAG)], &mut control, SendFlags::empty())?;
@@ -117,7 +186,7 @@
 }
 
 fn receive_descriptors(stream: &UnixStream) -> io::Result<Vec<OwnedFd>> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(DESCRIPTORS_MAX))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut byte = [0];
     let received = recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
--- a/node/src/process_handover/mod.rs
+++ b/node/src/process_handover/mod.rs
@@ -1,21 +1,26 @@
 //! Handover of a node from one process to its successor, for upgrades without downtime.
 //!
 //! The successor connects to its predecessor over a Unix socket and receives its listener and state. Once the
-//! successor serves, the predecessor accepts nothing new and completes the requests that it has. The
-//! resources of both count towards the same limits, and each detects the other's end by the end of the link.
+//! successor serves, the predecessor accepts nothing new, offers its running requests to the successor one by one
+//! ([`Ownership`]), and completes the others. The resources of both count towards the same limits, and each detects the other's end by the end of the link.
 
+mod claim;
 mod link;
+mod ownership;
 mod predecessor;
 mod successor;
 
+pub use claim::Claim;
+pub use ownership::{ClaimResult, Ownership, Reception, TransferEvent};
 pub use predecessor::{Predecessor, PredecessorLink, PredecessorLookup};
 pub use successor::serve_successors;
 
+use crate::dispatcher::AttemptId;
 use crate::endpoint_list::EndpointList;
-use crate::platform::socket::SocketHandle;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::os::fd::BorrowedFd;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -31,6 +36,10 @@
     /// Wire ids of the requests in flight there.
     #[serde(rename = "ids")]
     pub in_flight_ids: Vec<String>,
+    /// Whether the old process offers requests with a claim. One that does not may act on a request that it has
+    /// offered, so nothing is adopted from it.
+    #[serde(rename = "claims", default)]
+    pub offers_claims: bool,
 }
 
 /// Upper bound of the resources that the old process holds from now on.
@@ -42,26 +51,45 @@
     pub bodies_kib: usize,
 }
 
-/// A running request that is frozen for a transfer; if the transfer fails, it continues here.
-pub struct FrozenJob {
+/// A running request that is offered to the successor. Each method that reports what happened to the offer returns the
+/// owner after it.
+pub trait OfferedRequest: Send + Sync {
     /// Serializes the request as of the moment of the call; `None` if that fails.
-    pub to_json: Box<dyn FnOnce() -> Option<String> + Send>,
-    /// Sockets of its client and its worker.
-    pub sockets: [SocketHandle; 2],
-    /// Ends the transfer; the argument tells whether the other process has accepted the request.
-    pub finish: Box<dyn FnOnce(bool) + Send>,
+    fn to_json(&self) -> Option<String>;
+    /// Sockets of its client and its worker, and its claim if the successor takes claims.
+    fn descriptors(&self) -> Vec<BorrowedFd<'_>>;
+    /// The successor has accepted or rejected the request, or the offer could not be sent.
+    fn reply_received(&self, is_accepted: bool) -> Ownership;
+    /// The reply did not come in time, or cannot be understood.
+    fn reply_overdue(&self) -> Ownership;
+    /// The successor has ended.
+    fn successor_ended(&self) -> Ownership;
+    /// The link can no longer be used, although the successor may live.
+    fn link_failed(&self) -> Ownership;
+    /// Checks whether the successor has begun its answer.
+    fn check_answer(&self) -> Ownership;
 }
 
 /// A frontend that can be handed over.
 pub trait HandoverSource {
+    /// A request that it offers to the successor.
+    type Request: OfferedRequest;
+
     /// State that is sent with the listener.
     fn node_state(&self) -> NodeState;
     /// Resources that are held now.
     fn held_resources(&self) -> HeldResources;
     /// Closes idle connections, since no new requests will need them.
     fn close_idle(&self);
-    /// Freezes the running requests that can be transferred.
-    fn freeze_jobs(&self) -> impl Future<Output = Vec<FrozenJob>> + Send;
+    /// Running attempts whose requests may be transferred.
+    fn transferable(&self) -> impl Future<Output = Vec<AttemptId>> + Send;
+    /// Freezes the request of an attempt, to be offered; `None` if it can no longer be transferred. `takes_claims`
+    /// tells whether the successor takes claims.
+    fn offer(
+        &self,
+        attempt_id: AttemptId,
+        takes_claims: bool,
+    ) -> impl Future<Output = Option<Self::Request>> + Send;
 }
 
 /// Path of the socket at which the process that serves this address waits for its successor. It is in
--- a/node/src/process_handover/predecessor.rs
+++ b/node/src/process_handover/predecessor.rs
@@ -1,7 +1,8 @@
 //! The side of the new process: takes over from its predecessor.
 
-use super::link::{Link, Message};
-use super::{HeldResources, NodeState, REPLY_TIMEOUT};
+use super::link::{is_end_of_link, Link, Message};
+use super::{Claim, ClaimResult, HeldResources, NodeState, Reception, REPLY_TIMEOUT};
+use std::future::pending;
 use std::io::{self, ErrorKind};
 use std::os::fd::OwnedFd;
 use std::path::Path;
@@ -58,6 +59,7 @@
             Ok::<HeldResources, io::Error>(serde_json::from_str(&self.link.read_line().await?)?)
         };
         let held = timeout(REPLY_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        let is_report_pending = held.as_ref().is_err_and(|error| error.kind() == ErrorKind::TimedOut);
         let held = held.unwrap_or_else(|e| {
             log::warn!(event = "predecessor_silent", error:% = e;
                 "predecessor stopped responding; assuming that it holds no resources");
@@ -65,46 +67,82 @@
         });
         log::info!(event = "handover_taken_over", descriptors = held.descriptors, bodies_kib = held.bodies_kib;
             "took over from the predecessor, which still holds these resources");
-        (held, PredecessorLink(self.link))
+        let offers_claims = self.state.offers_claims;
+        (held, PredecessorLink { link: self.link, offers_claims, is_report_pending })
     }
 }
 
 /// Link to the predecessor after this process has taken over.
-pub struct PredecessorLink(Link);
+pub struct PredecessorLink {
+    link: Link,
+    offers_claims: bool,
+    /// Whether the first report of held resources is still to come.
+    is_report_pending: bool,
+}
 
 impl PredecessorLink {
-    /// Receives the running requests of the predecessor and passes them to `adopt`, which returns whether it
-    /// continues them; passes each report of held resources to `on_held_resources`, and an empty one when the
-    /// predecessor ends.
+    /// Receives the running requests of the predecessor and passes those that this process has claimed to `adopt`,
+    /// which returns whether it continues them; passes each report of held resources to `on_held_resources`, and an
+    /// empty one when the predecessor ends. Returns only then: the predecessor takes the end of the link for the end
+    /// of this process, so the link is kept open after any other error.
     pub async fn run(
         mut self,
         mut on_held_resources: impl FnMut(HeldResources),
         mut adopt: impl FnMut(&str, [OwnedFd; 2]) -> bool,
     ) {
-        let mut ended = self.0.send(Message::Ready).await.is_err();
-        while !ended {
-            ended = self.receive_message(&mut on_held_resources, &mut adopt).await.is_err();
+        let error = match self.receive_messages(&mut on_held_resources, &mut adopt).await {
+            Ok(never) => match never {},
+            Err(error) => error,
+        };
+        if !is_end_of_link(&error) {
+            log::warn!(event = "handover_link_unusable", error:%;
+                "message of the predecessor can't be read; nothing more is adopted from it");
+            pending::<()>().await;
         }
         log::info!(event = "predecessor_ended"; "predecessor has ended");
         on_held_resources(HeldResources::default());
     }
 
-    async fn receive_message(
+    async fn receive_messages(
         &mut self,
         on_held_resources: &mut impl FnMut(HeldResources),
         adopt: &mut impl FnMut(&str, [OwnedFd; 2]) -> bool,
-    ) -> io::Result<()> {
-        let sockets = self.0.receive_descriptors().await?;
-        let json = self.0.read_line().await?;
-        match <[OwnedFd; 2]>::try_from(sockets) {
-            Ok(sockets) => {
-                let is_accepted = adopt(&json, sockets);
-                self.0.send(if is_accepted { Message::JobAccepted } else { Message::JobRejected }).await
-            }
-            Err(_) => {
+    ) -> io::Result<std::convert::Infallible> {
+        if self.is_report_pending {
+            on_held_resources(serde_json::from_str(&self.link.read_line().await?)?);
+        }
+        // A predecessor of an earlier version knows only the shorter message.
+        let ready = if self.offers_claims { Message::ReadyToClaim } else { Message::Ready };
+        self.link.send(ready).await?;
+        loop {
+            let descriptors = self.link.receive_descriptors().await?;
+            let json = self.link.read_line().await?;
+            if descriptors.is_empty() {
                 on_held_resources(serde_json::from_str(&json)?);
-                Ok(())
+                continue;
             }
+            let reply = match receive_offer(&json, descriptors, adopt) {
+                Reception::Adopt => Message::JobAccepted,
+                Reception::Reject => Message::JobRejected,
+            };
+            self.link.send(reply).await?;
         }
     }
 }
+
+/// Decides on an offer. One without a claim is rejected: its predecessor may act on it meanwhile.
+fn receive_offer(
+    json: &str,
+    descriptors: Vec<OwnedFd>,
+    adopt: &mut impl FnMut(&str, [OwnedFd; 2]) -> bool,
+) -> Reception {
+    let Ok([client, worker, claim]) = <[OwnedFd; 3]>::try_from(descriptors) else {
+        log::debug!(event = "offer_without_claim"; "offer without a claim rejected");
+        return Reception::Reject;
+    };
+    let claim = Claim::received(claim).take();
+    let can_continue = claim == ClaimResult::Taken && adopt(json, [client, worker]);
+    let reception = Reception::of_offer(claim, can_continue);
+    log::debug!(event = "offer_received", claim:?, reception:?; "request of the predecessor received");
+    reception
+}
--- a/node/src/process_handover/successor.rs
+++ b/node/src/process_handover/successor.rs
@@ -1,7 +1,7 @@
 //! The side of the old process: offers the handover at a Unix socket and transfers running requests.
 
-use super::link::{Link, Message};
-use super::{HandoverSource, REPLY_TIMEOUT};
+use super::link::{is_end_of_link, Link, Message};
+use super::{HandoverSource, OfferedRequest, Ownership, REPLY_TIMEOUT};
 use crate::phase::Phases;
 use std::io::{self, ErrorKind};
 use std::os::fd::AsFd;
@@ -10,12 +10,15 @@
 use std::sync::Weak;
 use std::time::Duration;
 use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::pin;
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Time for the new process to serve after it has received listener and state, and again to be ready for
 /// running requests.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for the reply to an offer, after which this process takes the request back unless the new one has claimed it.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval between reports of the resources that the old process still holds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of yields to the runtime in which idle connections close before the first report: a task needs one
@@ -109,60 +112,132 @@
     timeout(START_TIMEOUT, link.expect(Message::Serving)).await??;
     let phase_before = phases.hand_over();
     source.close_idle();
-    let error = match transfer_jobs(&mut link, source).await {
-        Ok(()) => report_held_resources(&mut link, source).await,
+    let mut transfer = Transfer::default();
+    let error = match transfer.run(&mut link, source).await {
+        Ok(()) => transfer.watch(&mut link, source).await,
         Err(e) => e,
     };
+    transfer.end(&error);
     phases.undo_hand_over(phase_before);
     Err(error)
 }
 
-/// Reports the held resources, and transfers the running requests one after the other.
-async fn transfer_jobs(link: &mut Link, source: &impl HandoverSource) -> io::Result<()> {
-    // Lets idle connections close first: the new process can then use their descriptors.
-    for _ in 0..IDLE_CLOSE_YIELDS {
-        yield_now().await;
+/// Transfer of the running requests to the new process.
+struct Transfer<R> {
+    /// Requests that the new process owns, or has claimed without a reply.
+    transferred: Vec<R>,
+    /// Requests that the new process has rejected.
+    rejected: usize,
+    /// Requests that this process has taken back because there was no reply in time.
+    withdrawn: usize,
+}
+
+impl<R> Default for Transfer<R> {
+    fn default() -> Self {
+        Transfer { transferred: Vec::new(), rejected: 0, withdrawn: 0 }
+    }
+}
+
+impl<R: OfferedRequest> Transfer<R> {
+    /// Reports the held resources, and offers the running requests one after the other.
+    async fn run(&mut self, link: &mut Link, source: &impl HandoverSource<Request = R>) -> io::Result<()> {
+        // Lets idle connections close first: the new process can then use their descriptors.
+        for _ in 0..IDLE_CLOSE_YIELDS {
+            yield_now().await;
+        }
+        link.send_json(&source.held_resources()).await?;
+        let takes_claims = match timeout(START_TIMEOUT, link.receive()).await?? {
+            Message::ReadyToClaim => true,
+            Message::Ready => false,
+            _ => return Err(ErrorKind::InvalidData.into()),
+        };
+        let result = self.offer_all(link, source, takes_claims).await;
+        let Transfer { transferred, rejected, withdrawn } = self;
+        log::info!(event = "jobs_transferred", jobs = transferred.len(), rejected = *rejected, withdrawn = *withdrawn;
+            "running requests transferred to the new process");
+        result
+    }
+
+    async fn offer_all(
+        &mut self,
+        link: &mut Link,
+        source: &impl HandoverSource<Request = R>,
+        takes_claims: bool,
+    ) -> io::Result<()> {
+        for attempt_id in source.transferable().await {
+            let Some(request) = source.offer(attempt_id, takes_claims).await else { continue };
+            let result = self.offer(link, &request).await;
+            // The others were not offered and stay here. This one is decided by the end of the transfer.
+            if result.is_err() || request.check_answer().is_elsewhere() {
+                self.transferred.push(request);
+            }
+            result?;
+        }
+        Ok(())
     }
-    link.send_json(&source.held_resources()).await?;
-    timeout(START_TIMEOUT, link.expect(Message::Ready)).await??;
-    let mut jobs = source.freeze_jobs().await.into_iter();
-    let (mut transferred, mut result) = (0, Ok(()));
-    for job in jobs.by_ref() {
-        let sockets = [job.sockets[0].tcp_stream().as_fd(), job.sockets[1].tcp_stream().as_fd()];
-        let Some(json) = (job.to_json)() else {
-            (job.finish)(false);
-            continue;
+
+    /// Offers one request. Returns after the reply, however late: replies carry no name, and come in the order of the
+    /// offers.
+    async fn offer(&mut self, link: &mut Link, request: &R) -> io::Result<()> {
+        let Some(json) = request.to_json() else {
+            request.reply_received(false);
+            return Ok(());
         };
+        let descriptors = request.descriptors();
         let exchange = async {
-            link.send_descriptors(&sockets).await?;
+            link.send_descriptors(&descriptors).await?;
             link.send_line(&json).await?;
-            link.read_line().await
+            link.receive().await
         };
-        let reply =
-            timeout(REPLY_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
-        let is_accepted = reply.as_ref().is_ok_and(|line| Message::JobAccepted.matches(line));
-        transferred += usize::from(is_accepted);
-        (job.finish)(is_accepted);
-        if let Err(e) = reply {
-            result = Err(e);
-            break;
-        }
+        pin!(exchange);
+        let mut is_withdrawn = false;
+        let reply = match timeout(OFFER_TIMEOUT, &mut exchange).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                is_withdrawn = request.reply_overdue().may_act_here();
+                exchange.await
+            }
+        };
+        let is_accepted = match reply? {
+            Message::JobAccepted => true,
+            Message::JobRejected => false,
+            Message::Serving | Message::Ready | Message::ReadyToClaim => {
+                return Err(ErrorKind::InvalidData.into())
+            }
+        };
+        request.reply_received(is_accepted);
+        self.withdrawn += usize::from(is_withdrawn);
+        self.rejected += usize::from(!is_accepted && !is_withdrawn);
+        Ok(())
     }
-    // If the other process has failed, the remaining requests continue here.
-    jobs.for_each(|job| (job.finish)(false));
-    log::info!(event = "jobs_transferred", jobs = transferred;
-        "running requests transferred to the new process");
-    result
-}
 
-/// Reports the held resources at an interval until the link ends.
-async fn report_held_resources(link: &mut Link, source: &impl HandoverSource) -> io::Error {
-    loop {
-        if let Err(e) = link.send_held_resources(&source.held_resources()).await {
-            return e;
+    /// Reports the held resources at an interval, and watches the transferred requests until the link ends.
+    async fn watch(&mut self, link: &mut Link, source: &impl HandoverSource<Request = R>) -> io::Error {
+        loop {
+            self.transferred.retain(|request| request.check_answer().is_undecided());
+            if let Err(e) = link.send_held_resources(&source.held_resources()).await {
+                return e;
+            }
+            if let Ok(Err(e)) = timeout(REPORT_INTERVAL, link.read_line()).await {
+                return e;
+            }
         }
-        if let Ok(Err(e)) = timeout(REPORT_INTERVAL, link.read_line()).await {
-            return e;
+    }
+
+    /// Decides on the requests that are still transferred when the link ends.
+    fn end(self, error: &io::Error) {
+        let has_successor_ended = is_end_of_link(error);
+        let reclaimed = self
+            .transferred
+            .iter()
+            .map(
+                |request| if has_successor_ended { request.successor_ended() } else { request.link_failed() },
+            )
+            .filter(|owner| *owner == Ownership::Reclaimed)
+            .count();
+        if reclaimed > 0 {
+            log::warn!(event = "jobs_reclaimed", jobs = reclaimed;
+                "the new process ended with transferred requests unanswered; they fail here");
         }
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod deployments;
+pub mod handover_link;
 
 use molevale::counters::Counters;
 use molevale::faktory::{FaktoryConfig, Server};
--- a/node/tests/process_handover.rs
+++ b/node/tests/process_handover.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::handover_link::HandoverLink;
 use common::{request, Client, PlatformNode, Worker};
 use molevale::phase::Phase;
 use molevale::platform::listen;
@@ -180,37 +181,6 @@
     assert!(listen(address, true).is_ok());
 }
 
-/// The successor's connection to its predecessor, on which a byte with descriptors or a line is received.
-struct Link(tokio::net::UnixStream);
-
-impl Link {
-    async fn receive_descriptors(&self) {
-        use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvFlags};
-        let receive = || {
-            let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
-            let mut control = RecvAncillaryBuffer::new(&mut space);
-            let mut byte = [0];
-            let mut parts = [std::io::IoSliceMut::new(&mut byte)];
-            Ok(recvmsg(&self.0, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC).map(drop)?)
-        };
-        self.0.async_io(tokio::io::Interest::READABLE, receive).await.unwrap();
-    }
-
-    async fn read_line(&mut self) -> String {
-        use tokio::io::AsyncReadExt;
-        let mut line = Vec::new();
-        while line.last() != Some(&b'\n') {
-            line.push(self.0.read_u8().await.unwrap());
-        }
-        String::from_utf8(line).unwrap()
-    }
-
-    async fn send_text(&mut self, text: &str) {
-        use tokio::io::AsyncWriteExt;
-        self.0.write_all(text.as_bytes()).await.unwrap();
-    }
-}
-
 /// Jobs are transferred one after another: the remaining wait of each client is measured when its own
 /// job is transferred, not when the first one is.
 #[tokio::test(start_paused = true)]
@@ -230,12 +200,7 @@
     while predecessor.counters.acknowledged.get() < 2 {
         yield_now().await;
     }
-    let mut link = Link(tokio::net::UnixStream::connect(&path).await.unwrap());
-    link.receive_descriptors().await;
-    link.read_line().await;
-    link.send_text("serving\n").await;
-    link.read_line().await;
-    link.send_text("ready\n").await;
+    let mut link = HandoverLink::take_over(&path, "ready").await;
     let remaining_wait = |text: &str| {
         let job: serde_json::Value = serde_json::from_str(text).unwrap();
         let nanos = job["left"]["nanos"].as_u64().unwrap();
--- a/node/tests/transfer_ownership.rs
+++ b/node/tests/transfer_ownership.rs
@@ -3,9 +3,12 @@
 
 mod common;
 
+use common::handover_link::HandoverLink;
 use common::{request, settings, Client, PlatformNode, ReceivedRequest, Worker};
-use molevale::process_handover::{Predecessor, PredecessorLookup};
+use molevale::process_handover::{Claim, ClaimResult, Predecessor, PredecessorLookup};
 use serde_json::json;
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::mpsc;
 use std::time::Duration;
@@ -115,11 +118,8 @@
             let moved = u64::from(is_accepted);
             assert_eq!(old.counters.transferred_out.get(), moved, "{case}");
             if is_accepted {
-                assert_eq!(
-                    old.counters.attempts_sent.get(),
-                    1,
-                    "{case}: sent again after it was transferred"
-                );
+                let sent = old.counters.attempts_sent.get();
+                assert_eq!(sent, SERVED_BEFORE + 1, "{case}: sent again after it was transferred");
             }
             drop((client, received, workers));
             advance(Duration::from_secs(60)).await;
@@ -128,3 +128,129 @@
         }
     }
 }
+
+/// The message of a successor that takes claims.
+const READY: &str = "ready claims";
+
+/// Lets time pass in small steps, as for a process whose successor is stalled.
+async fn pass(time: Duration) {
+    for _ in 0..time.as_millis() / 20 {
+        advance(Duration::from_millis(20)).await;
+        settle().await;
+    }
+}
+
+/// A reply that is overdue is no 'no': the predecessor resumes the request only if it gets the claim, and then a successor
+/// that wakes up late no longer can.
+#[tokio::test(start_paused = true)]
+async fn an_offer_without_a_reply_is_withdrawn_only_with_its_claim() {
+    let Setup { path, old, mut client, received, workers } = Setup::start("overdue", "check", 5.0).await;
+    let mut link = HandoverLink::take_over(&path, READY).await;
+    let (_, [_client_socket, _worker_socket, claim]) = link.receive_offer().await;
+    pass(Duration::from_millis(200)).await;
+    assert_eq!(Claim::received(claim).take(), ClaimResult::Lost, "the predecessor has withdrawn the offer");
+    let mut received = received;
+    received.complete("here").await;
+    assert_eq!(client.read_answer().await.unwrap().body, "here", "the request continues where it was");
+    link.send_text("no\n").await;
+    settle().await;
+    assert_eq!(old.counters.attempts_sent.get(), SERVED_BEFORE + 1);
+    assert_eq!(old.counters.transferred_out.get(), 0);
+    drop((link, workers));
+    std::fs::remove_file(path).unwrap();
+}
+
+/// A successor that took the claim and stalls owns the request, whatever times out in the predecessor. When it ends, its
+/// predecessor reports the failure, and the worker sees the end of the attempt although both processes held its socket.
+#[tokio::test(start_paused = true)]
+async fn a_claimed_request_is_the_successors_until_it_ends() {
+    for replies in [false, true] {
+        let setup = Setup::start(&format!("claimed-{replies}"), "check", 5.0).await;
+        let Setup { path, old, mut client, received, workers } = setup;
+        let mut link = HandoverLink::take_over(&path, READY).await;
+        let (_, [client_socket, worker_socket, claim]) = link.receive_offer().await;
+        assert_eq!(Claim::received(claim).take(), ClaimResult::Taken);
+        if replies {
+            link.send_text("ok\n").await;
+        }
+        pass(Duration::from_secs(1)).await;
+        assert_eq!(old.counters.attempts_sent.get(), SERVED_BEFORE + 1, "replies: {replies}: sent again");
+        drop((link, client_socket, worker_socket));
+        let answer = client.read_answer().await.expect("an answer");
+        assert_eq!(answer.status, 502, "replies: {replies}: it may have been executed");
+        assert!(received.next_request().await.is_none(), "the attempt's connection is closed");
+        assert_eq!(old.counters.attempts_sent.get(), SERVED_BEFORE + 1, "replies: {replies}");
+        old.assert_nothing_open().await;
+        drop(workers);
+        std::fs::remove_file(path).unwrap();
+    }
+}
+
+/// The client of a successor that ended within its answer gets no second one: it would take that for the answer to its
+/// next request.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_the_successor_has_begun_is_not_followed_by_another() {
+    let Setup { path, old, mut client, received, workers } = Setup::start("begun", "check", 5.0).await;
+    let mut link = HandoverLink::take_over(&path, READY).await;
+    let (_, [client_socket, worker_socket, claim]) = link.receive_offer().await;
+    assert_eq!(Claim::received(claim).take(), ClaimResult::Taken);
+    link.send_text("ok\n").await;
+    settle().await;
+    let mut client_socket = TcpStream::from(client_socket);
+    client_socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthere").unwrap();
+    drop((link, client_socket, worker_socket));
+    assert_eq!(client.read_answer().await.unwrap().body, "there");
+    assert!(client.read_answer().await.is_none(), "nothing follows but the end");
+    old.assert_nothing_open().await;
+    drop((received, workers));
+    std::fs::remove_file(path).unwrap();
+}
+
+/// A reply that cannot be understood decides nothing; the claim does.
+#[tokio::test(start_paused = true)]
+async fn a_garbled_reply_leaves_the_decision_to_the_claim() {
+    for is_claimed in [false, true] {
+        let setup = Setup::start(&format!("garbled-{is_claimed}"), "check", 5.0).await;
+        let Setup { path, old, mut client, mut received, workers } = setup;
+        let mut link = HandoverLink::take_over(&path, READY).await;
+        let (_, [client_socket, worker_socket, claim]) = link.receive_offer().await;
+        if is_claimed {
+            assert_eq!(Claim::received(claim).take(), ClaimResult::Taken);
+        }
+        link.send_text("perhaps\n").await;
+        settle().await;
+        if is_claimed {
+            pass(Duration::from_secs(1)).await;
+            assert_eq!(old.counters.transferred_out.get(), 1);
+        } else {
+            received.complete("here").await;
+            assert_eq!(client.read_answer().await.unwrap().body, "here");
+        }
+        assert_eq!(old.counters.attempts_sent.get(), SERVED_BEFORE + 1, "claimed: {is_claimed}");
+        drop((link, client_socket, worker_socket, received, workers));
+        std::fs::remove_file(path).unwrap();
+    }
+}
+
+/// The first predecessor watches the requests that it transferred. While it lives, they are not passed on to a third
+/// process, whose end it could not notice.
+#[tokio::test(start_paused = true)]
+async fn an_adopted_request_is_not_passed_on_while_its_first_owner_watches_it() {
+    let setup = Setup::start("third", "check", 5.0).await;
+    let predecessor = setup.find_predecessor().await;
+    let Setup { path, old, mut client, mut received, workers } = setup;
+    let second =
+        PlatformNode::start_with_handover(Some(path.clone()), vec![], 256, 32, Some(predecessor)).await;
+    while second.counters.transferred_in.get() < 1 {
+        yield_now().await;
+    }
+    settle().await;
+    let mut link = HandoverLink::take_over(&path, READY).await;
+    assert_eq!(link.receive_descriptors().await.len(), 0, "a report of held resources, and no offer");
+    received.complete("second").await;
+    assert_eq!(client.read_answer().await.unwrap().body, "second");
+    assert_eq!((old.counters.transferred_out.get(), second.counters.transferred_out.get()), (1, 0));
+    link.read_line().await;
+    drop((link, workers));
+    std::fs::remove_file(path).unwrap();
+}
