Deduct the time that a transferred request spends in the link from its client's wait

Cause: the record of a request told durations.

Change: the record also tells when it was sent, by CLOCK_MONOTONIC, which is one for all processes of a machine. The receiver deducts the difference. The field is optional: a record of an earlier version is read as before.

Measured: an_offer_tells_when_it_was_sent; with the field removed it fails.

--- a/node/src/platform/job_handover.rs
+++ b/node/src/platform/job_handover.rs
@@ -10,6 +10,7 @@
 use crate::names::Names;
 use bytes::Bytes;
 use dispatch_policy::api::{Outcome, Request, WorkerId};
+use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -110,8 +111,12 @@
     is_retry: bool,
     slots: f64,
     memory: f64,
+    /// Time left to the client when the request was sent.
     #[serde(rename = "left")]
     time_left: Duration,
+    /// When the request was sent, by the monotonic clock of the machine, which both processes read.
+    #[serde(rename = "at", default)]
+    sent_at: Option<Duration>,
     /// Worker, its address, and the times since the request was sent to it and since it started the execution.
     worker: (u64, SocketAddr, Duration, Option<Duration>),
     #[serde(rename = "said")]
@@ -169,6 +174,7 @@
             slots,
             memory,
             time_left: start.deadline.saturating_duration_since(Instant::now()),
+            sent_at: None,
             worker: (
                 start.worker.0,
                 address,
@@ -180,6 +186,17 @@
         Some((transferred, socket_handle))
     }
 
+    /// Records that the durations hold now.
+    pub fn with_send_time(self) -> TransferredJob {
+        TransferredJob { sent_at: Some(monotonic_time()), ..self }
+    }
+
+    /// Adjusts the durations after the time that the request waited on its way to this process.
+    pub fn after_transit(self) -> TransferredJob {
+        let transit = self.sent_at.map_or(Duration::ZERO, |sent_at| monotonic_time().saturating_sub(sent_at));
+        self.delayed_by(transit)
+    }
+
     /// Adjusts the durations after this delay.
     pub fn delayed_by(mut self, delay: Duration) -> TransferredJob {
         self.time_left = self.time_left.saturating_sub(delay);
@@ -234,3 +251,9 @@
         TransferredAttempt { socket, address, response: self.response.clone(), start }
     }
 }
+
+/// Time of the machine's monotonic clock, which is the same in all its processes.
+fn monotonic_time() -> Duration {
+    let time = clock_gettime(ClockId::Monotonic);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- a/node/src/platform/offered_request.rs
+++ b/node/src/platform/offered_request.rs
@@ -115,7 +115,7 @@
     fn to_json(&self) -> Option<String> {
         // The time since the freeze is deducted from the time left to the client, which further attempts also pass on.
         let transferred = self.transferred.clone().delayed_by(self.frozen_at.elapsed());
-        serde_json::to_string(&transferred).ok()
+        serde_json::to_string(&transferred.with_send_time()).ok()
     }
 
     fn descriptors(&self) -> Vec<BorrowedFd<'_>> {
--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -178,6 +178,7 @@
     ) -> bool {
         let names = self.names.borrow().clone();
         let Ok(transferred) = serde_json::from_str::<TransferredJob>(record) else { return false };
+        let transferred = transferred.after_transit();
         let is_tenant_known = names.tenants.is_empty() || names.tenant(&transferred.tenant).is_some();
         // A request of an unknown class or tenant stays with the predecessor, whose settings still have it.
         if names.class(&transferred.class).is_none() || !is_tenant_known {
--- a/node/tests/transfer_ownership.rs
+++ b/node/tests/transfer_ownership.rs
@@ -6,7 +6,7 @@
 use common::handover_link::HandoverLink;
 use common::{request, settings, Client, PlatformNode, ReceivedRequest, Worker};
 use molevale::process_handover::{Claim, ClaimResult, Predecessor, PredecessorLookup};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::io::Write;
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -254,3 +254,18 @@
     drop((link, workers));
     std::fs::remove_file(path).unwrap();
 }
+
+/// The record of an offer tells when it was sent, by the clock that all processes of a machine share, so that the time in
+/// the link of a stalled process is deducted from the client's.
+#[tokio::test(start_paused = true)]
+async fn an_offer_tells_when_it_was_sent() {
+    let Setup { path, client, received, workers, .. } = Setup::start("sent-at", "check", 5.0).await;
+    let mut link = HandoverLink::take_over(&path, READY).await;
+    let (record, _descriptors) = link.receive_offer().await;
+    let record: Value = serde_json::from_str(&record).unwrap();
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    let age = now.tv_sec - record["at"]["secs"].as_i64().unwrap();
+    assert!((0..60).contains(&age), "sent {age} s ago");
+    drop((link, client, received, workers));
+    std::fs::remove_file(path).unwrap();
+}
