--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -8,6 +8,7 @@
 use futures_util::FutureExt;
 use rustix::net::{recv, shutdown, RecvFlags, Shutdown};
 use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
@@ -118,6 +119,11 @@
         Ok(Socket(Arc::new(Inner { stream: TcpStream::from_std(stream)?, state })))
     }
 
+    /// Address of the peer; `None` if the connection has ended.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.0.stream.peer_addr().ok()
+    }
+
     /// Handle to this socket.
     pub fn socket_handle(&self) -> SocketHandle {
         SocketHandle(self.0.clone())
