Carry over since when the listener's backlog may hold connections

Callers saw: workers were told deadlines up to 0.41 s beyond the client's, on connections that had waited in the backlog while a node was being upgraded.

Cause: the successor counted a connection's wait from its own first call of accept.

Change: the report of held resources tells since when connections may have waited, by the monotonic clock; the successor's acceptor starts from there. The field is optional.

Measured: time_in_the_backlog_before_a_handover_is_subtracted_from_the_deadline fails if the successor starts its count anew (5 s told of 4.6) and passes now.

--- a/node/src/acceptor.rs
+++ b/node/src/acceptor.rs
@@ -4,6 +4,7 @@
 use crate::transient::{self, FailureBackoff};
 use std::future::poll_fn;
 use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -22,23 +23,47 @@
     pub backlog_wait: Duration,
 }
 
+/// Time since which a listener's backlog may hold connections; none if the last poll found it empty. Clones share it.
+#[derive(Clone)]
+pub struct QueuedSince(Arc<Mutex<Option<Instant>>>);
+
+impl QueuedSince {
+    /// Connections may have queued since this time.
+    pub fn new(since: Instant) -> QueuedSince {
+        QueuedSince(Arc::new(Mutex::new(Some(since))))
+    }
+
+    /// The time; `None` if the backlog was found empty and is being watched.
+    pub fn get(&self) -> Option<Instant> {
+        *self.lock()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Accepts the connections of one listener.
 pub struct Acceptor {
-    /// Time since which the backlog may hold connections; `None` if the last poll found it empty.
-    maybe_queued_since: Option<Instant>,
+    queued_since: QueuedSince,
     backoff: FailureBackoff,
 }
 
 impl Default for Acceptor {
     fn default() -> Self {
-        Acceptor { maybe_queued_since: Some(Instant::now()), backoff: FailureBackoff::default() }
+        Acceptor::new(QueuedSince::new(Instant::now()))
     }
 }
 
 impl Acceptor {
+    /// Creates an acceptor for a listener whose backlog may hold connections since this time.
+    pub fn new(queued_since: QueuedSince) -> Acceptor {
+        Acceptor { queued_since, backoff: FailureBackoff::default() }
+    }
+
     /// Notes that the listener is not polled until the next call, so that connections may queue from now on.
     pub fn stop_watching(&mut self) {
-        self.maybe_queued_since.get_or_insert_with(Instant::now);
+        self.queued_since.lock().get_or_insert_with(Instant::now);
     }
 
     /// Waits for the next connection. Cancel safe: a call that is dropped has accepted none.
@@ -56,7 +81,7 @@
                 return Some(accepted);
             }
             let pause = self.backoff.take_pause();
-            if self.maybe_queued_since.is_none() || started.elapsed() > BACKLOG_DRAIN_LIMIT {
+            if self.queued_since.get().is_none() || started.elapsed() > BACKLOG_DRAIN_LIMIT {
                 return None;
             }
             if let Some(pause) = pause {
@@ -70,7 +95,7 @@
             ready!(self.backoff.poll_ready(context));
             match listener.poll_accept(context) {
                 Poll::Pending => {
-                    self.maybe_queued_since = None;
+                    *self.queued_since.lock() = None;
                     return Poll::Pending;
                 }
                 Poll::Ready(Ok((socket, _))) => return Poll::Ready(self.accepted(socket)),
@@ -80,7 +105,7 @@
     }
 
     fn accepted(&mut self, socket: TcpStream) -> Accepted {
-        let backlog_wait = self.maybe_queued_since.map_or(Duration::ZERO, |since| since.elapsed());
+        let backlog_wait = self.queued_since.get().map_or(Duration::ZERO, |since| since.elapsed());
         self.backoff.reset();
         self.stop_watching();
         Accepted { socket, backlog_wait }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod management;
 pub mod membership;
 pub mod metrics;
+pub mod monotonic;
 pub mod names;
 pub mod operator_client;
 pub mod phase;
--- a/node/src/platform/job_handover.rs
+++ b/node/src/platform/job_handover.rs
@@ -7,10 +7,10 @@
 use super::socket::SocketHandle;
 use super::Job;
 use crate::dispatcher::{AttemptId, AttemptStart};
+use crate::monotonic;
 use crate::names::Names;
 use bytes::Bytes;
 use dispatch_policy::api::{Outcome, Request, WorkerId};
-use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -188,12 +188,12 @@
 
     /// Records that the durations hold now.
     pub fn with_send_time(self) -> TransferredJob {
-        TransferredJob { sent_at: Some(monotonic_time()), ..self }
+        TransferredJob { sent_at: Some(monotonic::now()), ..self }
     }
 
     /// Adjusts the durations after the time that the request waited on its way to this process.
     pub fn after_transit(self) -> TransferredJob {
-        let transit = self.sent_at.map_or(Duration::ZERO, |sent_at| monotonic_time().saturating_sub(sent_at));
+        let transit = self.sent_at.map_or(Duration::ZERO, monotonic::elapsed_since);
         self.delayed_by(transit)
     }
 
@@ -251,9 +251,3 @@
         TransferredAttempt { socket, address, response: self.response.clone(), start }
     }
 }
-
-/// Time of the machine's monotonic clock, which is the same in all its processes.
-fn monotonic_time() -> Duration {
-    let time = clock_gettime(ClockId::Monotonic);
-    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
-}
--- a/node/src/platform/resource_budget.rs
+++ b/node/src/platform/resource_budget.rs
@@ -8,14 +8,18 @@
 use super::pool::Pool;
 use super::transport::OfferExchange;
 use super::Job;
+use crate::acceptor::QueuedSince;
 use crate::config::Limits;
 use crate::counters::{Counters, ResourceUsage};
 use crate::dispatcher::{AttemptId, Handle};
 use crate::endpoint_list::EndpointList;
+use crate::monotonic;
 use crate::names::Names;
 use crate::process_handover::{HandoverSource, HeldResources, NodeState};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 /// Descriptors other than those for clients and workers: standard streams, poller, signals, listeners,
 /// discovery, the link to another process, and connections of operators (up to
@@ -79,6 +83,8 @@
     pub body_memory_kib: Semaphore,
     /// Wire ids of requests in flight.
     pub(super) in_flight_ids: InFlightIds,
+    /// Since when connections may wait in the listener's backlog, also from the time of another process.
+    pub queued_since: QueuedSince,
     /// Latest endpoint list.
     pub latest_list: Arc<Mutex<EndpointList>>,
     limits: Limits,
@@ -95,6 +101,8 @@
         counters: Arc<Counters>,
     ) -> ResourceBudget {
         let allocation = Allocation::new(limits, other_process);
+        let queued_for = other_process.queued_since.map_or(Duration::ZERO, monotonic::elapsed_since);
+        let now = Instant::now();
         ResourceBudget {
             dispatcher,
             offers: Arc::default(),
@@ -103,6 +111,7 @@
             pool: Arc::new(Pool::new(allocation.workers, names, counters)),
             body_memory_kib: Semaphore::new(allocation.bodies_kib),
             in_flight_ids: InFlightIds::default(),
+            queued_since: QueuedSince::new(now.checked_sub(queued_for).unwrap_or(now)),
             latest_list: Arc::default(),
             limits,
             allocation: Mutex::new(allocation),
@@ -173,7 +182,12 @@
         // Each client that waits for an answer may still get an attempt.
         let workers = self.client_slots.busy().max(self.pool.connection_count());
         let descriptors = FIXED_DESCRIPTORS + clients + rejected + workers;
-        HeldResources { descriptors, bodies_kib: self.body_memory_used_kib() }
+        let queued_since = self.queued_since.get().unwrap_or_else(Instant::now);
+        HeldResources {
+            descriptors,
+            bodies_kib: self.body_memory_used_kib(),
+            queued_since: Some(monotonic::at(queued_since)),
+        }
     }
 
     fn close_idle(&self) {
--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -80,7 +80,7 @@
     /// requests are answered.
     pub async fn run(self: Arc<Self>, listener: Arc<TcpListener>) {
         let (mut phase, mut owns_listener) = (self.phase.clone(), true);
-        let mut acceptor = Acceptor::default();
+        let mut acceptor = Acceptor::new(self.budget.queued_since.clone());
         loop {
             let current = *phase.borrow_and_update();
             if current.accepts_connections() {
--- a/node/src/process_handover/mod.rs
+++ b/node/src/process_handover/mod.rs
@@ -49,6 +49,9 @@
     pub descriptors: usize,
     /// Memory for request bodies.
     pub bodies_kib: usize,
+    /// Time since which connections may wait in the listener's backlog, by the [monotonic clock](crate::monotonic).
+    #[serde(default)]
+    pub queued_since: Option<Duration>,
 }
 
 /// A running request that is offered to the successor. Each method that reports what happened to the offer returns the
--- a/node/tests/common/handover_link.rs
+++ b/node/tests/common/handover_link.rs
@@ -1,14 +1,18 @@
-//! A stand-in for the successor in a process handover: its end of the link to a node.
+//! Stand-ins for either process in a handover: their ends of the link to a node.
 
-use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
-use std::io::IoSliceMut;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde_json::Value;
+use std::io::{IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::Path;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
-use tokio::net::UnixStream;
+use tokio::net::{TcpListener, UnixListener, UnixStream};
 
-/// The successor's connection to its predecessor, on which a byte with descriptors or a line is received.
+/// One end of the link, on which a byte with descriptors or a line is received.
 pub struct HandoverLink(UnixStream);
 
 impl HandoverLink {
@@ -23,6 +27,27 @@
         link
     }
 
+    /// Hands this listener and state over to the node that connects to this socket, with a report of held resources; up
+    /// to the node's last message, which asks for running requests.
+    pub async fn hand_over(
+        socket: &UnixListener,
+        listener: &TcpListener,
+        state: &Value,
+        held: &Value,
+    ) -> HandoverLink {
+        let mut link = HandoverLink(socket.accept().await.unwrap().0);
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        let descriptors = [listener.as_fd()];
+        control.push(SendAncillaryMessage::ScmRights(&descriptors));
+        sendmsg(&link.0, &[IoSlice::new(b"D")], &mut control, SendFlags::empty()).unwrap();
+        link.send_text(&format!("{state}\n")).await;
+        assert_eq!(link.read_line().await, "serving\n");
+        link.send_text(&format!("{held}\n")).await;
+        assert_eq!(link.read_line().await, "ready claims\n");
+        link
+    }
+
     /// Receives one byte and the descriptors that are attached to it.
     pub async fn receive_descriptors(&self) -> Vec<OwnedFd> {
         let receive = || {
--- a/node/tests/process_handover.rs
+++ b/node/tests/process_handover.rs
@@ -215,3 +215,30 @@
     assert!(second <= Duration::from_millis(59_400), "{first:?} left, then {second:?} after 0.6 s");
     link.send_text("no\n").await;
 }
+
+/// A connection that waited in the backlog before the handover has waited: workers are told what is left to its client.
+#[tokio::test(start_paused = true)]
+async fn time_in_the_backlog_before_a_handover_is_subtracted_from_the_deadline() {
+    let path = handover_path("backlog");
+    let worker = Worker::start().await;
+    let socket = UnixListener::bind(&path).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let known = json!({"revision": 1, "complete": true, "members": [worker.list_entry("s-1", "in_service")]});
+    let state = json!({"known": known, "ids": [], "claims": true});
+    let queued_since = molevale::monotonic::now() - Duration::from_millis(400);
+    let held = json!({"descriptors": 0, "bodies_kib": 0, "queued_since": queued_since});
+    let address = listener.local_addr().unwrap();
+    let mut client = std::net::TcpStream::connect(address).unwrap();
+    std::io::Write::write_all(&mut client, request("check", "9b1f03aa5c7e2d41", 5.0, "").as_bytes()).unwrap();
+    let predecessor = tokio::spawn(async move {
+        let link = HandoverLink::hand_over(&socket, &listener, &state, &held).await;
+        (link, socket, listener)
+    });
+    let link = look_up(&path).await.expect("the predecessor answers");
+    let node = PlatformNode::start_with_handover(None, vec![], 256, 32, Some(link)).await;
+    let received = worker.receive_request().await;
+    let told: f64 = received.header("x-deadline").parse().unwrap();
+    assert!(told <= 4.6, "the worker was told {told} s of 5 s, 0.4 s of which had passed");
+    drop((predecessor, node, client, received));
+    std::fs::remove_file(path).unwrap();
+}
