A second successor asks the first, and one that was told to stop takes nothing over

Callers saw: a node that could not be restarted: 'Address already in use', code 2, four times in a row.

Cause: a successor whose predecessor was handing over to another one got no reply within 1 s, started beside it, listened on a shared address and replaced the handover socket of the process that served; also if it had been told to stop meanwhile.

Change: after a timeout the look-up checks whether the socket at the path was replaced, and asks the process that replaced it. A process that was told to stop before it serves ends without taking anything over.

--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -112,6 +112,11 @@
         self.transition(|_| Some(Phase::Closing));
     }
 
+    /// Whether the process was told to stop.
+    pub fn is_stop_requested(&self) -> bool {
+        self.stopped_at.get().is_some()
+    }
+
     /// Starts a task that stops the process at SIGTERM or SIGINT.
     pub fn stop_on_signal(&self, signals: Signals) {
         let phases = self.clone();
--- a/node/src/process_handover/mod.rs
+++ b/node/src/process_handover/mod.rs
@@ -21,7 +21,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::os::fd::BorrowedFd;
-use std::path::PathBuf;
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Time for a reply of the other process; it counts as unresponsive without one.
@@ -101,3 +102,8 @@
     let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
     Some(PathBuf::from(folder).join(format!("molevale-{listen}")))
 }
+
+/// Inode of the file at this path, which distinguishes it from a later file of the same name.
+fn inode(path: &Path) -> Option<u64> {
+    std::fs::metadata(path).ok().map(|m| m.ino())
+}
--- a/node/src/process_handover/predecessor.rs
+++ b/node/src/process_handover/predecessor.rs
@@ -1,7 +1,7 @@
 //! The side of the new process: takes over from its predecessor.
 
 use super::link::{is_end_of_link, Link, Message};
-use super::{Claim, ClaimResult, HeldResources, NodeState, Reception, REPLY_TIMEOUT};
+use super::{inode, Claim, ClaimResult, HeldResources, NodeState, Reception, REPLY_TIMEOUT};
 use std::future::pending;
 use std::io::{self, ErrorKind};
 use std::os::fd::OwnedFd;
@@ -27,17 +27,24 @@
 }
 
 impl Predecessor {
-    /// Connects to the handover socket at this path and receives listener and state.
+    /// Connects to the handover socket at this path and receives listener and state. If another process has replaced the
+    /// socket meanwhile, that one serves now, and is asked instead.
     pub async fn look_up(path: &Path) -> PredecessorLookup {
-        let Ok(stream) = UnixStream::connect(path).await else { return PredecessorLookup::Absent };
-        let received = timeout(REPLY_TIMEOUT, Predecessor::receive_state(stream)).await;
-        match received.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
-            Ok((listener, predecessor)) => PredecessorLookup::Serving(listener, predecessor),
-            Err(e) => {
-                log::warn!(event = "predecessor_unresponsive", error:% = e;
+        loop {
+            let socket = inode(path);
+            let Ok(stream) = UnixStream::connect(path).await else { return PredecessorLookup::Absent };
+            let received = timeout(REPLY_TIMEOUT, Predecessor::receive_state(stream)).await;
+            let error = match received.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+                Ok((listener, predecessor)) => return PredecessorLookup::Serving(listener, predecessor),
+                Err(error) => error,
+            };
+            if inode(path) == socket {
+                log::warn!(event = "predecessor_unresponsive", error:%;
                     "predecessor does not respond; starting beside it");
-                PredecessorLookup::Unresponsive
+                return PredecessorLookup::Unresponsive;
             }
+            log::info!(event = "predecessor_replaced", error:%;
+                "another process has taken over from the predecessor; asking that one");
         }
     }
 
--- a/node/src/process_handover/successor.rs
+++ b/node/src/process_handover/successor.rs
@@ -1,11 +1,10 @@
 //! The side of the old process: offers the handover at a Unix socket and transfers running requests.
 
 use super::link::{is_end_of_link, Link, Message};
-use super::{HandoverSource, OfferedRequest, Ownership, REPLY_TIMEOUT};
+use super::{inode, HandoverSource, OfferedRequest, Ownership, REPLY_TIMEOUT};
 use crate::phase::Phases;
 use std::io::{self, ErrorKind};
 use std::os::fd::AsFd;
-use std::os::unix::fs::MetadataExt;
 use std::path::Path;
 use std::sync::Weak;
 use std::time::Duration;
@@ -80,11 +79,6 @@
     }
 }
 
-/// Inode of the file at this path, which distinguishes it from a later file of the same name.
-fn inode(path: &Path) -> Option<u64> {
-    std::fs::metadata(path).ok().map(|m| m.ino())
-}
-
 /// Binds a socket under a temporary name and renames it, which atomically replaces a leftover file.
 fn bind(path: &Path) -> io::Result<UnixListener> {
     let temporary = path.with_extension(std::process::id().to_string());
--- a/node/src/startup.rs
+++ b/node/src/startup.rs
@@ -265,6 +265,11 @@
             Some(path) => Predecessor::look_up(path).await,
             None => PredecessorLookup::Absent,
         };
+        // Another successor may be taking over already; this process would replace its handover socket.
+        if self.phases.is_stop_requested() {
+            log::info!(event = "stopped_before_serving"; "stop requested before this process served; nothing taken over");
+            return Ok(());
+        }
         let (listener, predecessor) = match lookup {
             PredecessorLookup::Serving(listener, predecessor) => (listener, Some(predecessor)),
             PredecessorLookup::Unresponsive => (bind_clients(address, true).await?, None),
