Soak: a process that gets SIGTERM before its handler is installed has not crashed

The oracle took any end without an exit code for a crash.

Change: the history records the signal that ended a process. Only SIGTERM, sent by the run to a process that was never ready, is excused; any other signal, and SIGTERM of a process that was ready, is still a crash.

--- a/testbed/src/soak/driver/processes.rs
+++ b/testbed/src/soak/driver/processes.rs
@@ -10,6 +10,7 @@
 use serde_json::{json, Value};
 use std::io;
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -148,6 +149,7 @@
             ended: None,
             killed: false,
             code: None,
+            signal: None,
         });
         history.processes.len() - 1
     }
@@ -302,7 +304,7 @@
 ) -> bool {
     if let Some(status) = process.exit_status() {
         let record = &mut recorder.history().processes[record];
-        (record.ended, record.code) = (Some(now), status.code());
+        (record.ended, record.code, record.signal) = (Some(now), status.code(), status.signal());
         return true;
     }
     let is_due = kill_at.is_some_and(|at| now >= at);
--- a/testbed/src/soak/history.rs
+++ b/testbed/src/soak/history.rs
@@ -125,6 +125,8 @@
     pub killed: bool,
     /// Exit code, if it exited by itself with one.
     pub code: Option<i32>,
+    /// Signal that ended it, other than the SIGKILL above.
+    pub signal: Option<i32>,
 }
 
 /// A list change that takes a worker out of service, with the time from which one node is held to it.
--- a/testbed/src/soak/oracle.rs
+++ b/testbed/src/soak/oracle.rs
@@ -3,6 +3,7 @@
 use super::history::{
     AttemptEnd, AttemptRecord, History, ProcessRecord, RequestEnd, RequestRecord, Semantics, Time,
 };
+use rustix::process::Signal;
 use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
@@ -369,7 +370,10 @@
 /// Checks that a process is ready in time, and exits only after SIGTERM.
 fn check_process(process: &ProcessRecord, limits: &Limits) -> Option<Violation> {
     let exited = process.ended.is_some() && !process.killed;
-    if exited && (process.code != Some(0) || process.terminated.is_none()) {
+    // SIGTERM may come before the program has installed its handler.
+    let ended_in_start = process.ready.is_none() && process.signal == Some(Signal::TERM.as_raw());
+    let ended_well = process.code == Some(0) || ended_in_start;
+    if exited && (!ended_well || process.terminated.is_none()) {
         return Some(Violation::Crashed { node: process.node, code: process.code });
     }
     let until = process.ended.or(process.terminated).unwrap_or(Time::MAX);
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -54,6 +54,7 @@
         ended: None,
         killed: false,
         code: None,
+        signal: None,
     }
 }
 
@@ -180,6 +181,19 @@
         ProcessRecord { terminated: Some(ms(4_000)), ended: Some(ms(5_000)), code: Some(0), ..process() };
     assert_eq!(with(terminated_process), Vec::<&str>::new());
     assert_eq!(with(ProcessRecord { code: Some(101), ..terminated_process }), ["crash"]);
+    // The default action of SIGTERM is only right before the program is ready.
+    let by_signal = |signal, ready| ProcessRecord {
+        code: None,
+        signal: Some(signal),
+        ready,
+        terminated: Some(ms(20)),
+        ended: Some(ms(30)),
+        ..process()
+    };
+    assert_eq!(with(by_signal(15, None)), Vec::<&str>::new());
+    assert_eq!(with(by_signal(11, None)), ["crash"]);
+    assert_eq!(with(by_signal(15, Some(ms(10)))), ["crash"]);
+    assert_eq!(with(ProcessRecord { terminated: None, ..by_signal(15, None) }), ["crash"]);
     assert_eq!(with(ProcessRecord { ready: Some(ms(10_100)), ..process() }), ["ready"]);
     let overload = History { overloads: vec![(3, 40.0, 30.0)], ..served_request() };
     assert_eq!(violated_rules(&overload), ["failback"]);
