--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -6,13 +6,14 @@
 use super::pool::{ConnectError, Connection, Pool};
 use super::send_guard::SendBlocked;
 use super::socket::PeerObserver;
+use super::worker_response::{LineError, UnreadResponse, UpdateLines, LINE_MAX};
 use super::Job;
 use crate::counters::Counters;
 use crate::dispatcher::{AttemptId, Handle};
 use crate::names::Names;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dispatch_policy::api::{LoadReport, Outcome, WorkerId};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::uri::PathAndQuery;
@@ -23,8 +24,6 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{timeout, Instant};
 
-/// Longest line of a worker's response, in bytes: a whole response needs no more.
-const LINE_MAX: usize = 64 * 1024;
 /// Longest body, in bytes, of a response other than 200 after which the connection is reused.
 const REJECTION_BODY_MAX: usize = 4096;
 /// Time after a request's end in which a response without an id may be a second one to that request. A worker
@@ -89,13 +88,6 @@
     unread: Option<UnreadResponse>,
 }
 
-/// Part of a response that has not been read.
-struct UnreadResponse {
-    body: Incoming,
-    /// Largest number of bytes, without surrounding white space, after which the connection is reused.
-    limit: usize,
-}
-
 impl AttemptEnd {
     /// An end after which the connection is closed.
     fn without_response(outcome: Outcome) -> AttemptEnd {
@@ -286,7 +278,7 @@
         };
         AttemptEnd {
             report: fields::parse_load_header(&head.headers, &self.names.borrow()),
-            unread: Some(UnreadResponse { body, limit: REJECTION_BODY_MAX }),
+            unread: Some(UnreadResponse::new(body, REJECTION_BODY_MAX)),
             ..AttemptEnd::without_response(outcome)
         }
     }
@@ -325,74 +317,8 @@
                     return AttemptEnd::without_response(Outcome::ConnectionLost);
                 }
             };
-            let unread = Some(UnreadResponse { body: lines.body, limit: 0 });
+            let unread = Some(lines.into_unread());
             return AttemptEnd { outcome, report, result, not_attributable: false, unread };
         }
     }
 }
-
-/// Why the next line of a worker's response cannot be read.
-#[derive(Debug, thiserror::Error)]
-enum LineError {
-    #[error("line is longer than {LINE_MAX} bytes")]
-    TooLong,
-    #[error("reading the response failed")]
-    Broken(#[source] hyper::Error),
-    #[error("the response ended without a final update")]
-    Ended,
-}
-
-/// Reads a worker's response line by line, without empty lines.
-struct UpdateLines {
-    body: Incoming,
-    buffer: BytesMut,
-}
-
-impl UpdateLines {
-    fn new(body: Incoming) -> UpdateLines {
-        UpdateLines { body, buffer: BytesMut::new() }
-    }
-
-    async fn next(&mut self) -> Result<BytesMut, LineError> {
-        loop {
-            while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
-                let line = self.buffer.split_to(end + 1);
-                if !line.trim_ascii().is_empty() {
-                    return Ok(line);
-                }
-            }
-            // Bounds the memory for a line without an end.
-            if self.buffer.len() > LINE_MAX {
-                return Err(LineError::TooLong);
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.buffer.extend_from_slice(data);
-                    }
-                }
-                Some(Err(error)) => return Err(LineError::Broken(error)),
-                // The last line may lack a line break.
-                None if !self.buffer.trim_ascii().is_empty() => self.buffer.extend_from_slice(b"\n"),
-                None => return Err(LineError::Ended),
-            }
-        }
-    }
-}
-
-impl UnreadResponse {
-    /// Reads the rest of the response; returns whether it ended within the limit.
-    async fn ends_within_limit(mut self) -> bool {
-        let mut length = 0;
-        loop {
-            match self.body.frame().await {
-                None => return true,
-                Some(Ok(frame)) => length += frame.data_ref().map_or(0, |d| d.trim_ascii().len()),
-                Some(Err(_)) => return false,
-            }
-            if length > self.limit {
-                return false;
-            }
-        }
-    }
-}
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -24,6 +24,7 @@
 pub mod socket;
 mod startup;
 mod transport;
+mod worker_response;
 
 pub use endpoint_watch::ListSharing;
 pub use server::listen;
--- /dev/null
+++ b/node/src/platform/worker_response.rs
@@ -0,0 +1,99 @@
+//! Response of a worker: its updates line by line, and what is left of it after the final one.
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Longest line of a worker's response, in bytes: a whole response needs no more.
+pub const LINE_MAX: usize = 64 * 1024;
+
+/// Why the next line of a worker's response cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum LineError {
+    /// A line has no end within the limit.
+    #[error("line is longer than {LINE_MAX} bytes")]
+    TooLong,
+    /// The connection broke.
+    #[error("reading the response failed")]
+    Broken(#[source] hyper::Error),
+    /// The response ended without the final update.
+    #[error("the response ended without a final update")]
+    Ended,
+}
+
+/// Reads a worker's response line by line, without empty lines.
+pub struct UpdateLines {
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl UpdateLines {
+    /// Reads the lines of this body.
+    pub fn new(body: Incoming) -> UpdateLines {
+        UpdateLines { body, buffer: BytesMut::new() }
+    }
+
+    /// Returns the next line.
+    ///
+    /// # Errors
+    /// [`LineError`] if there is none.
+    pub async fn next(&mut self) -> Result<BytesMut, LineError> {
+        loop {
+            while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                if !line.trim_ascii().is_empty() {
+                    return Ok(line);
+                }
+            }
+            // Bounds the memory for a line without an end.
+            if self.buffer.len() > LINE_MAX {
+                return Err(LineError::TooLong);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+                Some(Err(error)) => return Err(LineError::Broken(error)),
+                // The last line may lack a line break.
+                None if !self.buffer.trim_ascii().is_empty() => self.buffer.extend_from_slice(b"\n"),
+                None => return Err(LineError::Ended),
+            }
+        }
+    }
+
+    /// The rest of the response after its final update, which holds nothing but white space.
+    pub fn into_unread(self) -> UnreadResponse {
+        UnreadResponse::new(self.body, 0)
+    }
+}
+
+/// Part of a response that has not been read.
+pub struct UnreadResponse {
+    body: Incoming,
+    /// Largest number of bytes, without surrounding white space, after which the connection is reused.
+    limit: usize,
+}
+
+impl UnreadResponse {
+    /// The rest of a response with this limit.
+    pub fn new(body: Incoming, limit: usize) -> UnreadResponse {
+        UnreadResponse { body, limit }
+    }
+
+    /// Reads the rest of the response; returns whether it ended within the limit.
+    pub async fn ends_within_limit(mut self) -> bool {
+        let mut length = 0;
+        loop {
+            match self.body.frame().await {
+                None => return true,
+                Some(Ok(frame)) => length += frame.data_ref().map_or(0, |d| d.trim_ascii().len()),
+                Some(Err(_)) => return false,
+            }
+            if length > self.limit {
+                return false;
+            }
+        }
+    }
+}
