--- a/node/src/platform/attempt.rs
+++ b/node/src/platform/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::fields::{self, WorkerUpdate};
 use super::in_flight_ids::InFlightId;
-use super::job_handover::{SharedAttempt, TransferredAttempt};
+use super::job_handover::{AttemptConnection, SharedAttempt, TransferredAttempt};
 use super::pool::{ConnectError, Connection, Pool};
 use super::send_guard::SendBlocked;
 use super::socket::PeerObserver;
@@ -179,7 +179,11 @@
         if !is_adopted {
             self.arm_send_guard(connection, request);
         }
-        let shared = (connection.socket_handle.clone(), connection.progress.clone(), connection.address);
+        let shared = AttemptConnection {
+            socket: connection.socket_handle.clone(),
+            progress: connection.progress.clone(),
+            address: connection.address,
+        };
         *request.shared.connection.lock().unwrap_or_else(PoisonError::into_inner) = Some(shared);
         let http_request = request.to_http(connection);
         let may_be_stray =
--- a/node/src/platform/job_handover.rs
+++ b/node/src/platform/job_handover.rs
@@ -71,12 +71,23 @@
     pub shared: Arc<SharedAttempt>,
 }
 
+/// Connection of an attempt to its worker, for a transfer to another process.
+#[derive(Clone)]
+pub struct AttemptConnection {
+    /// The socket.
+    pub socket: SocketHandle,
+    /// How much of the request was written, and what was read of the response.
+    pub progress: SharedProgress,
+    /// Address of the worker.
+    pub address: SocketAddr,
+}
+
 /// State of an attempt that the dispatcher reads and sets while the attempt runs.
 pub struct SharedAttempt {
     /// Owner of the attempt and its request.
     pub ownership: RequestOwnership,
-    /// Socket, progress and worker address of the connection, once there is one.
-    pub connection: Mutex<Option<(SocketHandle, SharedProgress, SocketAddr)>>,
+    /// Its connection, once there is one.
+    pub connection: Mutex<Option<AttemptConnection>>,
     /// Whether the client has disconnected: the request need not be sent any more.
     pub is_abandoned: AtomicBool,
 }
@@ -145,7 +156,7 @@
     ) -> Option<(TransferredJob, SocketHandle)> {
         let client = job.client.as_ref()?;
         let connection = attempt.shared.connection.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let (socket_handle, progress, address) = connection?;
+        let AttemptConnection { socket, progress, address } = connection?;
         let response = progress
             .lock()
             .ok()
@@ -153,7 +164,7 @@
             .and_then(|p| p.response_so_far())?;
         if !client.message_monitor.is_between_messages()
             || !client.socket_handle.is_replay_done()
-            || !socket_handle.is_replay_done()
+            || !socket.is_replay_done()
         {
             return None;
         }
@@ -183,7 +194,7 @@
             ),
             response,
         };
-        Some((transferred, socket_handle))
+        Some((transferred, socket))
     }
 
     /// Records that the durations hold now.
--- a/node/tests/client_disconnects_in_handover.rs
+++ b/node/tests/client_disconnects_in_handover.rs
@@ -5,10 +5,10 @@
 
 mod common;
 
-use common::{request, Client, PlatformNode, ReceivedRequest, Worker};
+use common::handover_setup::{settle, HandoverSetup};
+use common::{request, settings, Client, PlatformNode};
 use molevale::process_handover::{Predecessor, PredecessorLookup};
 use serde_json::json;
-use std::path::PathBuf;
 use std::sync::mpsc;
 use std::time::Duration;
 use tokio::sync::mpsc::unbounded_channel;
@@ -77,52 +77,15 @@
     format!("{:x}\r\n{line}\n\r\n0\r\n\r\n", line.len() + 1)
 }
 
-/// A node that may be taken over, with a request in flight at one worker while another is free.
-struct HandoverSetup {
-    handover_path: PathBuf,
-    old: PlatformNode,
-    client: Client,
-    received: ReceivedRequest,
-    workers: [Worker; 2],
-}
-
-impl HandoverSetup {
-    async fn start(name: &str) -> HandoverSetup {
-        let handover_path = std::env::temp_dir().join(format!("molevale-gone-{}-{name}", std::process::id()));
-        let workers = [Worker::start().await, Worker::start().await];
-        let known =
-            vec![workers[0].list_entry("s-1", "in_service"), workers[1].list_entry("s-2", "in_service")];
-        let old = PlatformNode::start_with_handover(Some(handover_path.clone()), known, 256, 32, None).await;
-        while !handover_path.exists() {
-            yield_now().await;
-        }
-        let mut client = Client::connect(&old).await;
-        client.send_after_pause(&request("lodge", ID, 60.0, "")).await;
-        let mut received = tokio::select! {
-            received = workers[0].receive_request() => received,
-            received = workers[1].receive_request() => received,
-        };
-        received.begin_response().await;
-        while old.counters.acknowledged.get() < 1 {
-            yield_now().await;
-        }
-        HandoverSetup { handover_path, old, client, received, workers }
-    }
-
-    /// Looks up the serving process, as its successor does.
-    async fn find_predecessor(&self) -> (tokio::net::TcpListener, Predecessor) {
-        match Predecessor::look_up(&self.handover_path).await {
-            PredecessorLookup::Serving(listener, predecessor) => (listener, predecessor),
-            _ => panic!("no predecessor is serving"),
-        }
-    }
-}
-
-/// Yields until events of sockets have been processed.
-async fn settle() {
-    for _ in 0..200 {
+/// Starts a node with an acknowledged request.
+async fn start(name: &str) -> HandoverSetup {
+    let text = request("lodge", ID, 60.0, "");
+    let mut setup = HandoverSetup::start(&format!("gone-{name}"), settings(true, 60_000_000), 0, &text).await;
+    setup.received.begin_response().await;
+    while setup.old.counters.acknowledged.get() < 1 {
         yield_now().await;
     }
+    setup
 }
 
 /// The successor holds the offered request for a while and then rejects it. This process continues it, with a
@@ -130,10 +93,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_request_that_thaws_after_its_client_left_is_not_retried() {
     for departure in DEPARTURES {
-        let HandoverSetup { handover_path, old, client, received, workers } =
-            HandoverSetup::start(&format!("{departure:?}")).await;
-        let PredecessorLookup::Serving(_listener, predecessor) = Predecessor::look_up(&handover_path).await
-        else {
+        let HandoverSetup { path, old, client, received, workers } = start(&format!("{departure:?}")).await;
+        let PredecessorLookup::Serving(_listener, predecessor) = Predecessor::look_up(&path).await else {
             panic!("no predecessor is serving")
         };
         let (_, predecessor_link) = predecessor.take_over().await;
@@ -176,7 +137,7 @@
         drop(workers);
         advance(Duration::from_secs(60)).await;
         successor.join().unwrap();
-        std::fs::remove_file(handover_path).unwrap();
+        std::fs::remove_file(path).unwrap();
     }
 }
 
@@ -185,17 +146,12 @@
 async fn a_request_whose_client_leaves_during_a_handover_is_not_retried() {
     for departure in DEPARTURES {
         for steps in (0..60).step_by(3) {
-            let setup = HandoverSetup::start(&format!("over-{departure:?}-{steps}")).await;
+            let setup = start(&format!("over-{departure:?}-{steps}")).await;
             let predecessor = setup.find_predecessor().await;
-            let HandoverSetup { handover_path, old, client, received, workers } = setup;
-            let new = PlatformNode::start_with_handover(
-                Some(handover_path.clone()),
-                vec![],
-                256,
-                32,
-                Some(predecessor),
-            )
-            .await;
+            let HandoverSetup { path, old, client, received, workers } = setup;
+            let new =
+                PlatformNode::start_with_handover(Some(path.clone()), vec![], 256, 32, Some(predecessor))
+                    .await;
             for _ in 0..steps {
                 yield_now().await;
             }
@@ -213,7 +169,7 @@
             assert_eq!(sent, 1, "{departure:?} after {steps} steps: retried although its client had left");
             old.assert_nothing_open().await;
             drop(workers);
-            std::fs::remove_file(handover_path).unwrap();
+            std::fs::remove_file(path).unwrap();
         }
     }
 }
@@ -224,8 +180,8 @@
 async fn a_close_after_unread_bytes_is_noticed_in_time() {
     for departure in [Departure::PartialRequest, Departure::FurtherRequest, Departure::LongRequest] {
         for retry_due_at_once in [false, true] {
-            let setup = HandoverSetup::start(&format!("late-{departure:?}-{retry_due_at_once}")).await;
-            let HandoverSetup { handover_path, old, mut client, received, workers } = setup;
+            let setup = start(&format!("late-{departure:?}-{retry_due_at_once}")).await;
+            let HandoverSetup { path, old, mut client, received, workers } = setup;
             client.send(&bytes_after_request(departure)).await;
             settle().await;
             advance(Duration::from_millis(1)).await;
@@ -255,7 +211,7 @@
                 "{departure:?}"
             );
             drop(workers);
-            std::fs::remove_file(handover_path).unwrap();
+            std::fs::remove_file(path).unwrap();
         }
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod deployments;
 pub mod handover_link;
+pub mod handover_setup;
 
 use molevale::counters::Counters;
 use molevale::faktory::{FaktoryConfig, Server};
--- a/node/tests/transfer_ownership.rs
+++ b/node/tests/transfer_ownership.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use common::handover_link::HandoverLink;
-use common::{request, settings, Client, PlatformNode, ReceivedRequest, Worker};
-use molevale::process_handover::{Claim, ClaimResult, Predecessor, PredecessorLookup};
-use serde_json::{json, Value};
+use common::handover_setup::{settle, HandoverSetup};
+use common::{request, settings, PlatformNode};
+use molevale::process_handover::{Claim, ClaimResult};
+use serde_json::Value;
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::PathBuf;
 use std::sync::mpsc;
 use std::time::Duration;
 use tokio::sync::mpsc::unbounded_channel;
@@ -20,60 +20,10 @@
 /// Requests that are served before: the budget for retries grows with them.
 const SERVED_BEFORE: u64 = 20;
 
-/// The next request at either worker, on a new connection.
-async fn receive_request(workers: &[Worker; 2]) -> ReceivedRequest {
-    tokio::select! {
-        received = workers[0].receive_request() => received,
-        received = workers[1].receive_request() => received,
-    }
-}
-
-/// A node with a request in flight at one of two workers, which may be taken over.
-struct Setup {
-    path: PathBuf,
-    old: PlatformNode,
-    client: Client,
-    received: ReceivedRequest,
-    workers: [Worker; 2],
-}
-
-impl Setup {
-    /// Starts the node with a request of this class, whose client waits this long.
-    async fn start(name: &str, class: &str, wait_s: f64) -> Setup {
-        let path = std::env::temp_dir().join(format!("molevale-owner-{}-{name}", std::process::id()));
-        let workers = [Worker::start().await, Worker::start().await];
-        let known = [workers[0].list_entry("s-1", "in_service"), workers[1].list_entry("s-2", "in_service")];
-        let parts = json!({"settings": settings(true, 500_000), "known": known});
-        let old =
-            PlatformNode::start_with_config_and_handover(parts, Some(path.clone()), 256, 32, None).await;
-        while !path.exists() {
-            yield_now().await;
-        }
-        let mut client = Client::connect(&old).await;
-        for n in 0..SERVED_BEFORE {
-            client.send_after_pause(&request(class, &format!("served-{n}"), 5.0, "")).await;
-            receive_request(&workers).await.complete("r").await;
-            assert_eq!(client.read_answer().await.unwrap().status, 200);
-        }
-        client.send_after_pause(&request(class, ID, wait_s, "")).await;
-        let received = receive_request(&workers).await;
-        Setup { path, old, client, received, workers }
-    }
-
-    /// Looks up the serving process, as its successor does.
-    async fn find_predecessor(&self) -> (tokio::net::TcpListener, Predecessor) {
-        match Predecessor::look_up(&self.path).await {
-            PredecessorLookup::Serving(listener, predecessor) => (listener, predecessor),
-            _ => panic!("no predecessor is serving"),
-        }
-    }
-}
-
-/// Yields until events of sockets have been processed.
-async fn settle() {
-    for _ in 0..200 {
-        yield_now().await;
-    }
+/// Starts a node with a request of this class, whose client waits this long.
+async fn start(name: &str, class: &str, wait_s: f64) -> HandoverSetup {
+    let text = request(class, ID, wait_s, "");
+    HandoverSetup::start(&format!("owner-{name}"), settings(true, 500_000), SERVED_BEFORE, &text).await
 }
 
 /// Guards against incident 9474ef: while a successor holds its reply back, the attempt timeout and the deadline pass in
@@ -82,9 +32,9 @@
 async fn a_request_that_is_offered_to_a_successor_is_not_sent_again() {
     for (class, wait_s) in [("check", 5.0), ("lodge", 8.0), ("check", 0.4)] {
         for is_accepted in [false, true] {
-            let setup = Setup::start(&format!("offer-{class}-{wait_s}-{is_accepted}"), class, wait_s).await;
+            let setup = start(&format!("offer-{class}-{wait_s}-{is_accepted}"), class, wait_s).await;
             let (_listener, predecessor) = setup.find_predecessor().await;
-            let Setup { path, old, client, received, workers } = setup;
+            let HandoverSetup { path, old, client, received, workers } = setup;
             let (_, link) = predecessor.take_over().await;
             let (offer, mut offered) = unbounded_channel();
             let (decide, decided) = mpsc::channel::<()>();
@@ -144,7 +94,7 @@
 /// that wakes up late no longer can.
 #[tokio::test(start_paused = true)]
 async fn an_offer_without_a_reply_is_withdrawn_only_with_its_claim() {
-    let Setup { path, old, mut client, received, workers } = Setup::start("overdue", "check", 5.0).await;
+    let HandoverSetup { path, old, mut client, received, workers } = start("overdue", "check", 5.0).await;
     let mut link = HandoverLink::take_over(&path, READY).await;
     let (_, [_client_socket, _worker_socket, claim]) = link.receive_offer().await;
     pass(Duration::from_millis(200)).await;
@@ -165,8 +115,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_claimed_request_is_the_successors_until_it_ends() {
     for replies in [false, true] {
-        let setup = Setup::start(&format!("claimed-{replies}"), "check", 5.0).await;
-        let Setup { path, old, mut client, received, workers } = setup;
+        let setup = start(&format!("claimed-{replies}"), "check", 5.0).await;
+        let HandoverSetup { path, old, mut client, received, workers } = setup;
         let mut link = HandoverLink::take_over(&path, READY).await;
         let (_, [client_socket, worker_socket, claim]) = link.receive_offer().await;
         assert_eq!(Claim::received(claim).take(), ClaimResult::Taken);
@@ -190,7 +140,7 @@
 /// next request.
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_the_successor_has_begun_is_not_followed_by_another() {
-    let Setup { path, old, mut client, received, workers } = Setup::start("begun", "check", 5.0).await;
+    let HandoverSetup { path, old, mut client, received, workers } = start("begun", "check", 5.0).await;
     let mut link = HandoverLink::take_over(&path, READY).await;
     let (_, [client_socket, worker_socket, claim]) = link.receive_offer().await;
     assert_eq!(Claim::received(claim).take(), ClaimResult::Taken);
@@ -210,8 +160,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_garbled_reply_leaves_the_decision_to_the_claim() {
     for is_claimed in [false, true] {
-        let setup = Setup::start(&format!("garbled-{is_claimed}"), "check", 5.0).await;
-        let Setup { path, old, mut client, mut received, workers } = setup;
+        let setup = start(&format!("garbled-{is_claimed}"), "check", 5.0).await;
+        let HandoverSetup { path, old, mut client, mut received, workers } = setup;
         let mut link = HandoverLink::take_over(&path, READY).await;
         let (_, [client_socket, worker_socket, claim]) = link.receive_offer().await;
         if is_claimed {
@@ -236,9 +186,9 @@
 /// process, whose end it could not notice.
 #[tokio::test(start_paused = true)]
 async fn an_adopted_request_is_not_passed_on_while_its_first_owner_watches_it() {
-    let setup = Setup::start("third", "check", 5.0).await;
+    let setup = start("third", "check", 5.0).await;
     let predecessor = setup.find_predecessor().await;
-    let Setup { path, old, mut client, mut received, workers } = setup;
+    let HandoverSetup { path, old, mut client, mut received, workers } = setup;
     let second =
         PlatformNode::start_with_handover(Some(path.clone()), vec![], 256, 32, Some(predecessor)).await;
     while second.counters.transferred_in.get() < 1 {
@@ -259,7 +209,7 @@
 /// the link of a stalled process is deducted from the client's.
 #[tokio::test(start_paused = true)]
 async fn an_offer_tells_when_it_was_sent() {
-    let Setup { path, client, received, workers, .. } = Setup::start("sent-at", "check", 5.0).await;
+    let HandoverSetup { path, client, received, workers, .. } = start("sent-at", "check", 5.0).await;
     let mut link = HandoverLink::take_over(&path, READY).await;
     let (record, _descriptors) = link.receive_offer().await;
     let record: Value = serde_json::from_str(&record).unwrap();
