Soak: a killed successor excuses no request that the process before still had

Cause: the oracle excused every request of a node whose process was killed, also one that a living predecessor had accepted and can answer. So a successor that died could lose what it had taken over, unseen.

Change: a kill excuses a request only if no process of the node had it 0.25 s before the killed one started and lives past the kill and the request's deadline.

Measured: request_of_a_killed_successor_is_answered_by_its_predecessor fails with the oracle before (no alarm) and passes now.

--- a/testbed/src/soak/oracle.rs
+++ b/testbed/src/soak/oracle.rs
@@ -23,6 +23,8 @@
     pub deduplication_window: Duration,
     /// Time within which a process must be ready.
     pub ready: Duration,
+    /// Time within which a process has accepted a connection.
+    pub accept: Duration,
     /// Requests written up to this long after SIGTERM may be cut by SIGKILL.
     pub kill_excused: Duration,
     /// Tolerance for delays of the stand-ins.
@@ -41,6 +43,7 @@
             deadline_slack: ms(150),
             deduplication_window: ms(6_000),
             ready: ms(10_000),
+            accept: ms(250),
             kill_excused: ms(700),
             tolerance: ms(40),
             has_crowd: false,
@@ -248,16 +251,34 @@
 /// Whether a kill of the process excuses that the request has no answer.
 fn is_excused(request: &RequestRecord, written: Time, processes: &[ProcessRecord], limits: &Limits) -> bool {
     let ended = request.ended.unwrap_or(Time::MAX);
-    processes.iter().filter(|process| process.node == request.node && process.killed).any(|process| {
-        let within = process
-            .ended
-            .is_some_and(|at| at <= ended + limits.tolerance && request.first_byte <= at + limits.tolerance);
+    let of_node = || processes.iter().filter(|process| process.node == request.node);
+    of_node().filter(|process| process.killed).any(|process| {
+        let Some(killed_at) = process.ended else { return false };
+        let within =
+            killed_at <= ended + limits.tolerance && request.first_byte <= killed_at + limits.tolerance;
         let early = process.terminated.is_none_or(|at| written <= at + limits.kill_excused);
-        // The killed process may be a successor, started after the request began, that took the request over.
-        within && early && process.started <= ended
+        // The killed process may be a successor, started after the request began, that took the request over. Then the
+        // process before has to answer, if it lives.
+        let is_kept = || of_node().any(|before| has_kept(before, request, process, killed_at, limits));
+        within && early && process.started <= ended && !is_kept()
     })
 }
 
+/// Whether a process had a request before its successor started, and outlived the kill of that successor.
+fn has_kept(
+    before: &ProcessRecord,
+    request: &RequestRecord,
+    successor: &ProcessRecord,
+    killed_at: Time,
+    limits: &Limits,
+) -> bool {
+    let accepted_by = request.first_byte + limits.accept;
+    let had_request = before.ready.is_some_and(|ready| ready <= request.first_byte);
+    let answers_by = request.first_byte + request.deadline;
+    let outlived = before.ended.is_none_or(|ended| ended > answers_by.max(killed_at) + limits.tolerance);
+    had_request && accepted_by <= successor.started && outlived
+}
+
 /// Checks all attempts of one request.
 fn check_attempts(
     requests: &[&RequestRecord],
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -121,6 +121,27 @@
     assert_eq!(violated_rules(&History { processes: vec![terminated_process], ..cut }), ["lost"]);
 }
 
+/// The kill of a successor excuses no request that the process before had, as long as that one lives.
+#[test]
+fn request_of_a_killed_successor_is_answered_by_its_predecessor() {
+    let cut = RequestRecord { end: RequestEnd::Broken, ended: Some(ms(1_601)), ..request(Semantics::Safe) };
+    let successor_started =
+        |at| ProcessRecord { started: ms(at), ended: Some(ms(1_600)), killed: true, ..process() };
+    let rules = |predecessor, successor| {
+        let processes = vec![predecessor, successor];
+        violated_rules(&History { processes, ..history(cut.clone(), vec![]) })
+    };
+    assert_eq!(rules(process(), successor_started(1_400)), ["lost"]);
+    assert_eq!(
+        rules(process(), successor_started(1_100)),
+        Vec::<&str>::new(),
+        "it may have accepted the request"
+    );
+    let ended =
+        ProcessRecord { terminated: Some(ms(1_450)), ended: Some(ms(1_500)), code: Some(0), ..process() };
+    assert_eq!(rules(ended, successor_started(1_400)), Vec::<&str>::new(), "the predecessor has ended");
+}
+
 #[test]
 fn forbidden_second_attempt_is_reported() {
     let second_attempt = |semantics, first, at| {
