Keep an adopted connection from being evicted before its request is read

Cause: the connection of a request that was taken over counted as new and idle until its task had read the replayed request. In a crowd a connection that arrived in that moment could evict it, and its client got no answer. And a connection that could not be adopted after all would have been shut down for the predecessor, too. Both found by reading; no run showed them.

Change: its slot is busy from the start; a socket that is not adopted is released before it is dropped.

--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -191,8 +191,10 @@
         let Ok(socket) = Socket::received(client, transferred.to_request_bytes()) else { return false };
         let stream = MonitoredStream::new(socket);
         let Some(slot) = self.budget.client_slots.acquire_transferred(&stream.monitor()) else {
+            stream.get_ref().socket_handle().release(); // the predecessor keeps the connection
             return false;
         };
+        slot.set_busy(); // it has a request, although this process has not read it yet
         reserved_ids.remove(transferred.wire_id());
         let adopted = Some(transferred.to_attempt(worker));
         let connection = ClientConnection::new(&stream, slot, adopted, Duration::ZERO);
