Soak: workers that read late say so, and lose no handshakes while they accept

Change: the backlog is short only while the worker does not accept, and for 1.5 s after it the bytes count as read late; so does the next request after a second response. An attempt that was read late is left out of the checks of times, as before.

--- a/testbed/src/soak/worker.rs
+++ b/testbed/src/soak/worker.rs
@@ -6,6 +6,7 @@
 use crate::wire::{field, head, length};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use rustix::net::listen;
 use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
@@ -21,12 +22,15 @@
 
 /// Number of requests that may wait at a worker; more are rejected.
 const QUEUE_LENGTH: usize = 30;
-/// Backlog of a worker that can delay connections: once it is full, the kernel drops connection requests.
-const SHORT_BACKLOG: u32 = 0;
-/// Backlog of other workers, in connections.
-const BACKLOG: u32 = 1024;
+/// Backlog of a worker that delays connections while it does not accept: once it is full, the kernel drops connection
+/// requests, and the ends of handshakes.
+const SHORT_BACKLOG: i32 = 0;
+/// Backlog otherwise, in connections.
+const BACKLOG: i32 = 1024;
 /// Time after a worker accepts again until its backlog is empty.
 const BACKLOG_DRAIN_TIME: Duration = Duration::from_millis(50);
+/// The same after a short backlog: the kernel of the node sends what was dropped again after 0.2 s, 0.6 s and 1.4 s.
+const RETRANSMISSION_TIME: Duration = Duration::from_millis(1_500);
 
 /// Response to a rejected request.
 const REJECTION: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -94,7 +98,7 @@
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        let listener = socket.listen(if short_backlog { SHORT_BACKLOG } else { BACKLOG })?;
+        let listener = socket.listen(BACKLOG as u32)?;
         let mode = watch::Sender::new(WorkerMode::Normal);
         let cold = cold.then(|| Mutex::new(ColdLoad::new()));
         let shared = Arc::new(Shared {
@@ -105,7 +109,7 @@
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             cold,
         });
-        let task = tokio::spawn(accept(listener, shared, mode.subscribe()));
+        let task = tokio::spawn(accept(listener, short_backlog, shared, mode.subscribe()));
         Ok(SoakWorker { address, mode, task })
     }
 
@@ -116,12 +120,23 @@
 }
 
 /// Accepts connections, except in mode [`WorkerMode::NotAccepting`].
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut mode: watch::Receiver<WorkerMode>) {
+async fn accept(
+    listener: TcpListener,
+    short_backlog: bool,
+    shared: Arc<Shared>,
+    mut mode: watch::Receiver<WorkerMode>,
+) {
     let mut connections = JoinSet::new();
     let mut resumed: Option<Instant> = None;
+    let late_time = if short_backlog { RETRANSMISSION_TIME } else { BACKLOG_DRAIN_TIME };
     loop {
         if *mode.borrow() == WorkerMode::NotAccepting {
+            // Short only now: concurrent connections would lose the ends of their handshakes, and their bytes would
+            // arrive 0.2 s after the node has written them.
+            let backlog = if short_backlog { SHORT_BACKLOG } else { BACKLOG };
+            let _ = listen(&listener, backlog); // fails never for a socket that listens
             drop(mode.wait_for(|mode| *mode != WorkerMode::NotAccepting).await);
+            let _ = listen(&listener, BACKLOG);
             resumed = Some(Instant::now());
         }
         let accepted = tokio::select! {
@@ -131,7 +146,7 @@
         let Ok((socket, _)) = accepted else { continue };
         let _ = socket.set_nodelay(true);
         // Requests on connections that waited in the backlog are read late.
-        let late_read = resumed.is_some_and(|at| at.elapsed() < BACKLOG_DRAIN_TIME);
+        let late_read = resumed.is_some_and(|at| at.elapsed() < late_time);
         connections.spawn(serve(socket, shared.clone(), mode.clone(), late_read));
         while connections.try_join_next().is_some() {}
     }
@@ -158,6 +173,8 @@
 /// What to do with a connection after a response.
 enum AfterResponse {
     Keep,
+    /// Keep it; the next request may have arrived while the worker still sent.
+    KeepReadLate,
     Close,
     Reset,
 }
@@ -171,6 +188,8 @@
     let (read, mut writer) = socket.into_split();
     let mut reader = BufReader::new(read);
     let (mut first, recorder) = (true, &shared.recorder);
+    // Whether the next request may have waited before it was read.
+    let mut late_read = late_read;
     loop {
         let idle = shared.draw(0..300);
         tokio::select! {
@@ -190,7 +209,7 @@
             sent_deadline: field(&head, "x-deadline").and_then(|text| text.parse().ok()),
             end: AttemptEnd::InFlight,
             ended: None,
-            late_read: first && late_read,
+            late_read: std::mem::take(&mut late_read),
         });
         first = false;
         let open = OpenAttempt { recorder, index };
@@ -206,6 +225,7 @@
         };
         match next {
             AfterResponse::Keep => {}
+            AfterResponse::KeepReadLate => late_read = true,
             AfterResponse::Close => return None,
             AfterResponse::Reset => {
                 let _ = writer.as_ref().set_zero_linger();
@@ -348,7 +368,7 @@
                 sleep(Duration::from_millis(self.draw(0..12))).await;
                 let second = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}\n";
                 writer.write_all(second.as_bytes()).await.ok()?;
-                return Some(AfterResponse::Keep);
+                return Some(AfterResponse::KeepReadLate);
             }
             3 => {
                 open.end(AttemptEnd::Concluded);
