Soak: successors that are killed during or after a transfer, also after SIGTERM

Cause: a failed upgrade's kill was skipped once the predecessor had SIGTERM, which it got as soon as the successor was ready, so a kill after the transfer was hardly ever drawn.

--- a/testbed/src/soak/driver/execution.rs
+++ b/testbed/src/soak/driver/execution.rs
@@ -40,6 +40,7 @@
     Pause { node: usize, record: usize, until: Time },
     Terminate { node: usize, record: usize },
     UpgradeAgain { node: usize, terminate_after: Duration },
+    KillProcess { node: usize, record: usize },
 }
 
 impl Driver {
@@ -79,6 +80,7 @@
             Action::UpgradeAgain { node, terminate_after } => {
                 self.upgrade_and_terminate(node, terminate_after, now)?;
             }
+            Action::KillProcess { node, record } => self.kill_process(node, record, now),
             Action::StopConnecting(node) => self.targets[node].accepts.store(false, Ordering::Relaxed),
         }
         Ok(())
@@ -153,7 +155,14 @@
 
     /// Starts a successor, and schedules the signals and stalls of both processes.
     fn disturb_handover(&mut self, handover: &DisturbedHandover, now: Time) -> io::Result<()> {
-        let DisturbedHandover { node, terminate_after, signals, ref stalls, link_stall_rate } = *handover;
+        let DisturbedHandover {
+            node,
+            terminate_after,
+            signals,
+            ref stalls,
+            link_stall_rate,
+            kill_successor_after,
+        } = *handover;
         let stalled_calls = HANDOVER_LINK_FAULTS.map(|fault| (fault, link_stall_rate)).to_vec();
         self.inject(node, stalled_calls, now + LINK_STALL_TIME)?;
         let predecessor = self.upgrade_and_terminate(node, terminate_after, now)?;
@@ -166,6 +175,9 @@
             let begin = now + stall.after;
             self.schedule(begin, Action::Pause { node, record, until: begin + stall.span });
         }
+        if let Some(after) = kill_successor_after {
+            self.schedule(now + after, Action::KillProcess { node, record: successor });
+        }
         match signals {
             SignalSeries::TerminateOnce => {}
             SignalSeries::TerminateTwice { after } => {
--- a/testbed/src/soak/driver/processes.rs
+++ b/testbed/src/soak/driver/processes.rs
@@ -241,6 +241,17 @@
         }
     }
 
+    /// Kills a node's current process; the next one is started after a while, beside predecessors that still live.
+    pub(super) fn kill_process(&mut self, i: usize, record: usize, now: Time) {
+        let node = &mut self.nodes[i];
+        if node.record != record {
+            return;
+        }
+        let Some(mut process) = node.process.take() else { return };
+        kill(&self.recorder, &mut process, record);
+        (node.kill_at, node.start_at) = (None, Some(now + RESTART_AFTER));
+    }
+
     /// Resumes a stopped process, even if a successor has started meanwhile.
     pub(super) fn resume(&mut self, i: usize, record: usize) {
         self.signal_process(i, record, Signal::CONT);
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -15,6 +15,8 @@
 /// high rate stalls the first calls and a low one any.
 const LINK_STALL_RATE_MAX: u64 = 300_000;
 
+/// Share of the handovers whose successor is killed.
+const KILLED_SUCCESSOR_SHARE: f64 = 0.2;
 /// Faults of system calls that hold a process up.
 const STALLS: [Fault; 3] = [Fault::StallBeforeSend, Fault::StallBeforeConnect, Fault::StallAfterRecv];
 
@@ -98,6 +100,8 @@
     pub stalls: Vec<HandoverStall>,
     /// Rate at which calls on the handover's link stall, in calls per million.
     pub link_stall_rate: u64,
+    /// Time from the successor's start to its kill, if it is killed.
+    pub kill_successor_after: Option<Duration>,
 }
 
 /// A fault, or an action of operators.
@@ -275,6 +279,7 @@
         signals,
         stalls,
         link_stall_rate,
+        kill_successor_after: rng.random_bool(KILLED_SUCCESSOR_SHARE).then(|| ms(rng.random_range(15..400))),
     }
 }
 
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -279,5 +279,6 @@
     for side in [HandoverSide::Predecessor, HandoverSide::Successor] {
         assert!(stalls().any(|stall| stall.side == side), "{side:?}");
     }
+    assert!(handovers.iter().any(|handover| handover.kill_successor_after.is_some()));
     assert!(stalls().all(|stall| stall.span <= ms(150)), "the protocol allows no longer stall");
 }
