Soak: a kill of a successor that has ended leaves its predecessor alone

Change: the successor is looked at first; a reload skips a process that was never ready, by the check that is_steady makes.

--- a/testbed/src/soak/driver/processes.rs
+++ b/testbed/src/soak/driver/processes.rs
@@ -213,9 +213,13 @@
     /// Whether a node has exactly one process, which is ready and was not sent SIGTERM.
     pub(super) fn is_steady(&self, i: usize) -> bool {
         let node = &self.nodes[i];
+        self.is_ready(i) && node.process.is_some() && node.predecessors.is_empty() && node.kill_at.is_none()
+    }
+
+    /// Whether the process of a node that was started last has been ready.
+    fn is_ready(&self, i: usize) -> bool {
         let history = self.recorder.history();
-        let ready = history.processes.get(node.record).is_some_and(|process| process.ready.is_some());
-        ready && node.process.is_some() && node.predecessors.is_empty() && node.kill_at.is_none()
+        history.processes.get(self.nodes[i].record).is_some_and(|process| process.ready.is_some())
     }
 
     /// Sends SIGTERM to a node and schedules its kill.
@@ -235,8 +239,10 @@
         if node.record != record || !predecessor_continues {
             return;
         }
-        if let (Some(mut successor), Some(predecessor)) = (node.process.take(), node.predecessors.pop()) {
-            kill(&self.recorder, &mut successor, record);
+        // A successor that has ended by itself leaves its predecessor where it is.
+        let Some(mut successor) = node.process.take() else { return };
+        kill(&self.recorder, &mut successor, record);
+        if let Some(predecessor) = node.predecessors.pop() {
             (node.process, node.record) = (Some(predecessor.process), predecessor.record);
         }
     }
@@ -289,8 +295,12 @@
         }
     }
 
-    /// Reloads a node with another address of discovery or other settings.
+    /// Reloads a node with another address of discovery or other settings, unless its process is still starting: SIGHUP
+    /// would end it before its handler is installed.
     pub(super) fn reload(&mut self, i: usize, moves_discovery: bool, now: Time) -> io::Result<()> {
+        if !self.is_ready(i) {
+            return Ok(());
+        }
         let node = &mut self.nodes[i];
         if moves_discovery {
             node.agent_address = 1 - node.agent_address;
