--- a/node/src/monotonic.rs
+++ b/node/src/monotonic.rs
@@ -7,7 +7,12 @@
 
 /// Time of the clock now.
 pub fn now() -> Duration {
-    let time = clock_gettime(ClockId::Monotonic);
+    read(ClockId::Monotonic)
+}
+
+/// Time of a clock that starts with the machine.
+pub(crate) fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
     Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
 }
 
--- a/node/src/platform/server/connection.rs
+++ b/node/src/platform/server/connection.rs
@@ -107,7 +107,6 @@
             let connection = &connection;
             async move { Ok::<_, Infallible>(self.respond(request, connection).await) }
         });
-        let peer = stream.get_ref().peer_address();
         let http_connection = http_builder().serve_connection(TokioIo::new(stream), service);
         tokio::pin!(http_connection);
         let reason = tokio::select! {
@@ -121,7 +120,7 @@
             }
             () = self.idle_close_required(&connection) => CloseReason::PhaseChanged,
         };
-        log::debug!(event = "client_connection_closing", peer:?, reason:?, phase:? = *self.phase.borrow();
+        log::debug!(event = "client_connection_closing", peer:? = connection.client.socket_handle.peer_address(), reason:?, phase:? = *self.phase.borrow();
             "closing client connection");
         let limit = match reason {
             CloseReason::EvictedUnserved => return,
--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -151,8 +151,8 @@
             log::debug!(event = "client_socket_option_failed", error:% = e; "TCP_NODELAY not set");
         }
         let stream = MonitoredStream::new(Socket::new(socket));
-        let peer = stream.get_ref().peer_address();
-        log::debug!(event = "client_connection_accepted", peer:?, backlog_wait:?; "client connection accepted");
+        log::debug!(event = "client_connection_accepted", peer:? = stream.get_ref().peer_address(), backlog_wait:?;
+            "client connection accepted");
         if let Some(slot) = self.budget.client_slots.acquire(&stream.monitor()).await {
             self.counters.connections_accepted.add();
             let accept_delay = backlog_wait + accepted_at.elapsed();
@@ -167,7 +167,7 @@
             });
         } else {
             // No descriptor is left even for a rejection: the connection is closed without an answer.
-            log::debug!(event = "client_connection_dropped", peer:?;
+            log::debug!(event = "client_connection_dropped", peer:? = stream.get_ref().peer_address();
                 "no descriptor is left: connection closed unread");
             self.counters.rejected_early.add();
         }
--- a/node/src/platform/socket.rs
+++ b/node/src/platform/socket.rs
@@ -121,7 +121,7 @@
 
     /// Address of the peer; `None` if the connection has ended.
     pub fn peer_address(&self) -> Option<SocketAddr> {
-        self.0.stream.peer_addr().ok()
+        self.socket_handle().peer_address()
     }
 
     /// Handle to this socket.
@@ -180,6 +180,11 @@
         wakers.into_iter().flatten().for_each(Waker::wake);
     }
 
+    /// Address of the peer; `None` if the connection has ended.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.0.stream.peer_addr().ok()
+    }
+
     /// Whether all replayed bytes have been read.
     pub fn is_replay_done(&self) -> bool {
         self.0.state().replay.is_empty()
--- a/node/tests/golden_node.rs
+++ b/node/tests/golden_node.rs
@@ -452,31 +452,33 @@
         TakingOver { _folder: folder, ip, successor, link, client, to_client, at_worker, to_worker, text }
     }
 
-    fn job(&self) -> String {
-        include_str!("golden/node/job.json").replace("NODE", &self.ip)
+    /// Offers the recorded job with this claim, and records the reply.
+    async fn offer_job(&mut self, claim: Option<&Claim>) {
+        let sockets = [self.to_client.as_fd(), self.to_worker.as_fd()];
+        let descriptors: Vec<_> = sockets.into_iter().chain(claim.map(AsFd::as_fd)).collect();
+        self.link.send_descriptors(&descriptors).await;
+        self.link.send_text(&include_str!("golden/node/job.json").replace("NODE", &self.ip)).await;
+        write!(self.text, "== once it has a job\n{}", self.link.read_line().await).unwrap();
     }
 }
 
 #[tokio::test]
 async fn a_successor_accepts_and_sends_the_recorded_messages() {
-    let taking_over = TakingOver::start(103, true).await;
-    let transferred_job = taking_over.job();
+    let mut taking_over = TakingOver::start(103, true).await;
+    let claim = Claim::new().unwrap();
+    taking_over.offer_job(Some(&claim)).await;
     let TakingOver {
         _folder,
         ip,
         successor,
         mut link,
         mut client,
-        to_client,
         mut at_worker,
-        to_worker,
         mut text,
+        to_client,
+        to_worker,
     } = taking_over;
-    let claim = Claim::new().unwrap();
-    link.send_descriptors(&[to_client.as_fd(), to_worker.as_fd(), claim.as_fd()]).await;
     drop((to_client, to_worker));
-    link.send_text(&transferred_job).await;
-    write!(text, "== once it has a job\n{}", link.read_line().await).unwrap();
     assert_eq!(claim.take(), ClaimResult::Lost, "the successor has taken the claim");
     link.send_text("H{\"descriptors\":2,\"bodies_kib\":0}\n").await;
     // A request with an id that is open in the predecessor is rejected; a transferred job completes here.
@@ -496,29 +498,14 @@
 /// that it knows; the job and its connections stay its own.
 #[tokio::test]
 async fn a_successor_rejects_a_job_that_comes_without_a_claim() {
-    let taking_over = TakingOver::start(104, false).await;
-    let transferred_job = taking_over.job();
-    let TakingOver {
-        _folder,
-        ip,
-        successor,
-        mut link,
-        mut client,
-        to_client,
-        mut at_worker,
-        to_worker,
-        mut text,
-    } = taking_over;
-    link.send_descriptors(&[to_client.as_fd(), to_worker.as_fd()]).await;
-    link.send_text(&transferred_job).await;
-    write!(text, "== once it has a job\n{}", link.read_line().await).unwrap();
+    let mut taking_over = TakingOver::start(104, false).await;
+    taking_over.offer_job(None).await;
     let mut bytes = [0; 1];
-    for connection in [client.get_mut(), &mut at_worker] {
+    for connection in [taking_over.client.get_mut(), &mut taking_over.at_worker] {
         assert!(
             timeout(READ_DELAY, connection.read(&mut bytes)).await.is_err(),
             "neither connection is closed"
         );
     }
-    drop((to_client, to_worker, successor));
-    assert_golden("takes_over_without_claims.txt", &text.replace(&ip, "NODE"));
+    assert_golden("takes_over_without_claims.txt", &taking_over.text.replace(&taking_over.ip, "NODE"));
 }
