Faktory: an unsafe job that is pushed again after its end is not run again

Cause: Names kept one bit of a class's effect, 'requires a key', and find_duplicate read its absence as 'safe'.

Change: Names::idempotency is the effect itself; the lease table and the platform's check for a key match on it without a wildcard. On related paths: a record is kept until the class's deadline has passed (a class with a deadline above 60 s forgot it early), and a node that takes no new jobs accepts a repeat of one that it has instead of -SHUTDOWN, which lets a client push it elsewhere. A safe job that was refused after a failed attempt may be submitted again.

Why this works: whether a push runs again follows from the class's effect in one place, and a further kind of class does not compile there.

--- a/node/src/faktory/leases/mod.rs
+++ b/node/src/faktory/leases/mod.rs
@@ -9,7 +9,7 @@
 
 pub use assignment::{Delivery, LeaseError, OFFER_TIMEOUT};
 pub use job::{JobNumber, JobState};
-pub use submission::{PushError, PushOutcome};
+pub use submission::{Intake, PushError, PushOutcome};
 pub use workers::{UnknownWorker, HEARTBEAT_TIMEOUT};
 
 use crate::dispatcher::Handle;
@@ -23,6 +23,8 @@
 
 /// Minimum time for which the state of an ended job is kept.
 const STATE_RETENTION: Duration = Duration::from_secs(60);
+/// Time after its deadline within which a command that a client sent before may arrive.
+const LATE_COMMAND_GRACE: Duration = Duration::from_secs(1);
 
 /// Time limits of a class.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +35,14 @@
     pub deduplication_window: Duration,
 }
 
+impl ClassLimits {
+    /// Time for which an ended job is kept. A client may push it again, or ask for its end, until its deadline has passed.
+    fn retention(&self) -> Duration {
+        let until_client_gives_up = self.deadline + LATE_COMMAND_GRACE;
+        STATE_RETENTION.max(self.deduplication_window).max(until_client_gives_up)
+    }
+}
+
 /// The workers and jobs of the frontend.
 pub struct LeaseTable {
     dispatcher: Handle<JobNumber>,
--- a/node/src/faktory/leases/submission.rs
+++ b/node/src/faktory/leases/submission.rs
@@ -1,12 +1,12 @@
 //! Submission of jobs: validation, deduplication, and the dispatcher's answer.
 
 use super::job::{Attempt, IdempotencyKey, Job, JobNumber, Progress};
-use super::{LeaseTable, STATE_RETENTION};
+use super::LeaseTable;
 use crate::dispatcher::Answer;
 use crate::faktory::command::Push;
 use crate::names::Names;
 use bytes::Bytes;
-use dispatch_policy::api::Request;
+use dispatch_policy::api::{Idempotency, Request};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -61,6 +61,19 @@
     /// The table is full.
     #[error("too many jobs: try again later")]
     TableFull,
+    /// The server takes no new jobs, and the push duplicates none that it has.
+    #[error("the server takes no new jobs")]
+    ShuttingDown,
+}
+
+/// Whether the server takes new jobs. Duplicates of jobs that it has are accepted in either case: an error would tell the
+/// client that the job was not executed and may be pushed elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intake {
+    /// New jobs are taken.
+    Open,
+    /// New jobs are rejected.
+    Closed,
 }
 
 /// Fields of a pushed job after validation.
@@ -108,18 +121,30 @@
     ///
     /// # Errors
     ///
-    /// Fails if the job is invalid, its id is in use, or the table is full.
-    pub fn push(&mut self, job: Push, payload: Bytes) -> Result<oneshot::Receiver<PushOutcome>, PushError> {
+    /// Fails if the job is invalid, its id is in use, the table is full, or the job is new and the intake is closed.
+    pub fn push(
+        &mut self,
+        job: Push,
+        payload: Bytes,
+        intake: Intake,
+    ) -> Result<oneshot::Receiver<PushOutcome>, PushError> {
         self.remove_expired();
         let submission = Submission::validate(job, &self.names)?;
         let (sender, receiver) = oneshot::channel();
-        if let Some(number) = self.find_duplicate(&submission.jid, &submission.key)? {
+        let previous = self.find_previous(&submission.jid, &submission.key)?;
+        if let Some(number) = previous.filter(|number| !self.may_execute_again(*number)) {
             self.attach_duplicate(number, submission.jid, sender)?;
             return Ok(receiver);
         }
+        if intake == Intake::Closed {
+            return Err(PushError::ShuttingDown);
+        }
         if self.jobs.len() >= JOBS_MAX || self.payload_bytes + payload.len() > PAYLOAD_BYTES_MAX {
             return Err(PushError::TableFull);
         }
+        if let Some(number) = previous {
+            self.remove_job(number);
+        }
         self.submit(submission, payload, sender);
         Ok(receiver)
     }
@@ -151,26 +176,26 @@
         self.dispatcher.submit(request, number);
     }
 
-    /// Finds the job that a push duplicates, if any.
-    ///
-    /// This prevents double execution for clients that push again: within the deduplication window a push is attached to
-    /// the first job, unless that one was shed and proven not executed.
-    fn find_duplicate(&mut self, jid: &str, key: &IdempotencyKey) -> Result<Option<JobNumber>, PushError> {
+    /// Finds the job that was pushed with this id or key before, if any.
+    fn find_previous(&self, jid: &str, key: &IdempotencyKey) -> Result<Option<JobNumber>, PushError> {
         let by_jid = self.numbers_by_jid.get(jid).copied();
         if by_jid.is_some_and(|number| self.jobs[&number].key != *key) {
             return Err(PushError::JidInUse);
         }
-        let Some(number) = by_jid.or(self.numbers_by_key.get(key).copied()) else { return Ok(None) };
+        Ok(by_jid.or(self.numbers_by_key.get(key).copied()))
+    }
+
+    /// Whether a push of a job that is in the table already is submitted as a new one. Otherwise it is a duplicate, which
+    /// prevents a second execution for clients that push again.
+    fn may_execute_again(&self, number: JobNumber) -> bool {
         let job = &self.jobs[&number];
-        let may_execute_again = match &job.progress {
-            Progress::Submitted(_) | Progress::Admitted => false,
-            Progress::Ended(Answer::Shed(_)) => !job.may_have_executed,
-            Progress::Ended(_) => !self.names.requires_idempotency_key[key.class],
-        };
-        if may_execute_again {
-            self.remove_job(number);
+        let Progress::Ended(answer) = &job.progress else { return false };
+        match self.names.idempotency[job.key.class] {
+            Idempotency::Idempotent => true,
+            Idempotency::WithKey(_) | Idempotency::NotIdempotent => {
+                matches!(answer, Answer::Shed(_)) && !job.may_have_executed
+            }
         }
-        Ok((!may_execute_again).then_some(number))
     }
 
     /// Attaches a push to the job that it duplicates.
@@ -217,8 +242,8 @@
             return notify(senders, &outcome);
         }
         let previous = std::mem::replace(&mut job.progress, Progress::Ended(answer));
-        let window = self.limits[job.key.class].deduplication_window;
-        self.expiries.insert((Instant::now() + window.max(STATE_RETENTION), number));
+        let retention = self.limits[job.key.class].retention();
+        self.expiries.insert((Instant::now() + retention, number));
         if let Progress::Submitted(senders) = previous {
             notify(senders, &PushOutcome::Accepted);
         }
--- a/node/src/faktory/server.rs
+++ b/node/src/faktory/server.rs
@@ -2,7 +2,7 @@
 
 use super::authentication::Challenge;
 use super::config::FaktoryConfig;
-use super::leases::{ClassLimits, LeaseTable, OFFER_TIMEOUT};
+use super::leases::{ClassLimits, Intake, LeaseTable, OFFER_TIMEOUT};
 use super::session;
 use super::transport::FaktoryTransport;
 use crate::acceptor::Acceptor;
@@ -81,9 +81,12 @@
         &self.counters
     }
 
-    /// Whether new jobs are rejected in the current phase of the process.
-    pub fn rejects_new_jobs(&self) -> bool {
-        self.phase.borrow().closes_connections()
+    /// Whether new jobs are taken in the current phase of the process.
+    pub fn intake(&self) -> Intake {
+        match self.phase.borrow().closes_connections() {
+            true => Intake::Closed,
+            false => Intake::Open,
+        }
     }
 
     /// Generates the challenge of a session, if there is a password.
--- a/node/src/faktory/session.rs
+++ b/node/src/faktory/session.rs
@@ -3,7 +3,7 @@
 use super::authentication::{check_handshake, greeting, Challenge, HandshakeError};
 use super::codec::{Line, SessionCodec};
 use super::command::{Beat, Command, Hello, Push, WorkerCommand};
-use super::leases::{Delivery, JobState, PushOutcome, HEARTBEAT_TIMEOUT};
+use super::leases::{Delivery, JobState, PushError, PushOutcome, HEARTBEAT_TIMEOUT};
 use super::reply::Reply;
 use super::server::SharedState;
 use crate::dispatcher::Answer;
@@ -155,12 +155,11 @@
 
     /// Submits a job and waits until the push is accepted or rejected.
     async fn push(&self, job: Push, payload: Bytes) -> Result<Reply> {
-        if self.shared.rejects_new_jobs() {
-            return Ok(Reply::Error("SHUTDOWN", "the server takes no new jobs".to_string()));
-        }
-        let pushed = self.shared.leases().push(job, payload);
+        let intake = self.shared.intake();
+        let pushed = self.shared.leases().push(job, payload, intake);
         let outcome = match pushed {
             Ok(outcome) => outcome,
+            Err(error @ PushError::ShuttingDown) => return Ok(Reply::Error("SHUTDOWN", error.to_string())),
             Err(error) => {
                 self.shared.counters().rejected_early.add();
                 return Ok(Reply::error(error));
--- a/node/src/names.rs
+++ b/node/src/names.rs
@@ -25,8 +25,8 @@
     pub retired_classes: Vec<usize>,
     /// For each class, the number of the class that had its name before a reload, if any.
     pub inherits_from: Vec<Option<usize>>,
-    /// For each class, whether its requests need an idempotency key.
-    pub requires_idempotency_key: Vec<bool>,
+    /// For each class, whether its requests may be executed more than once.
+    pub idempotency: Vec<Idempotency>,
     /// Names of the tenants.
     pub tenants: Vec<String>,
     /// Numbers of the tenants that are no longer in the settings.
@@ -105,11 +105,7 @@
         inherits_from: vec![None; classes.len()],
         classes,
         retired_classes: Vec::new(),
-        requires_idempotency_key: settings
-            .classes
-            .iter()
-            .map(|class| matches!(class.idempotency, Idempotency::WithKey(_)))
-            .collect(),
+        idempotency: settings.classes.iter().map(|class| class.idempotency).collect(),
         tenants,
         retired_tenants: Vec::new(),
         zones: value.get("Azs").map(scalar_names).unwrap_or_default(),
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -3,7 +3,7 @@
 use crate::dispatcher::stable_hash;
 use crate::names::Names;
 use bytes::Bytes;
-use dispatch_policy::api::{LoadReport, Request};
+use dispatch_policy::api::{Idempotency, LoadReport, Request};
 use hyper::header::HeaderMap;
 use percent_encoding::percent_decode_str;
 use serde::Deserialize;
@@ -81,6 +81,15 @@
         }
     }
 
+    fn check_idempotency_key(&self, idempotency: Idempotency) -> Result<(), FieldError> {
+        match idempotency {
+            Idempotency::WithKey(_) if self.text("idempotency-key").is_empty() => {
+                Err(FieldError::MissingIdempotencyKey)
+            }
+            Idempotency::WithKey(_) | Idempotency::Idempotent | Idempotency::NotIdempotent => Ok(()),
+        }
+    }
+
     /// Deadline of the client, in microseconds from now.
     fn time_left_us(&self) -> Result<u64, FieldError> {
         let seconds = self.text("x-deadline").parse::<f64>().ok();
@@ -124,9 +133,7 @@
     headers.check_request_id()?;
     let class = headers.class(path, names)?;
     let tenant = headers.tenant(names)?;
-    if names.requires_idempotency_key[class] && headers.text("idempotency-key").is_empty() {
-        return Err(FieldError::MissingIdempotencyKey);
-    }
+    headers.check_idempotency_key(names.idempotency[class])?;
     Ok(Request {
         id: 0,
         class,
--- a/node/src/settings_merge.rs
+++ b/node/src/settings_merge.rs
@@ -28,7 +28,7 @@
             },
             names: Names {
                 classes: old.classes.clone(),
-                requires_idempotency_key: old.requires_idempotency_key.clone(),
+                idempotency: old.idempotency.clone(),
                 inherits_from: old.inherits_from.clone(),
                 tenants: old.tenants.clone(),
                 retired_tenants: Vec::new(),
@@ -56,7 +56,7 @@
                 // Its requests are expected to run about as long as those of the class that had the name before.
                 new.names.inherits_from.push(new.names.classes.iter().rposition(|n| n == name));
                 new.names.classes.push(name.clone());
-                new.names.requires_idempotency_key.push(newer.names.requires_idempotency_key[i]);
+                new.names.idempotency.push(class.idempotency);
                 new.settings.classes.push(class);
                 new.settings.classes.len() - 1
             });
--- a/node/tests/faktory.rs
+++ b/node/tests/faktory.rs
@@ -419,6 +419,7 @@
     Push(u8),
     Fetch(bool),
     Ack(bool),
+    Fail(bool),
     Quiet(bool),
     Drop(bool),
     Wait(u8),
@@ -427,12 +428,13 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
         let w = bool::arbitrary(g);
-        match u8::arbitrary(g) % 9 {
+        match u8::arbitrary(g) % 10 {
             0..=2 => Step::Push(u8::arbitrary(g) % 6),
             3..=4 => Step::Fetch(w),
             5..=6 => Step::Ack(w),
-            7 if bool::arbitrary(g) => Step::Quiet(w),
-            7 => Step::Drop(w),
+            7 => Step::Fail(w),
+            8 if bool::arbitrary(g) => Step::Quiet(w),
+            8 => Step::Drop(w),
             _ => Step::Wait(u8::arbitrary(g)),
         }
     }
@@ -446,8 +448,14 @@
 }
 
 #[allow(clippy::too_many_lines, reason = "one scenario, step by step")]
-async fn run_steps(steps: Vec<Step>) {
-    let (node, _, _phase) = start_faktory(None);
+async fn run_steps(is_unsafe: bool, steps: Vec<Step>) {
+    let mut settings = common::settings(false, 1_000_000);
+    if is_unsafe {
+        settings["Profiles"][1]["Semantics"] = "unsafe".into();
+    }
+    let (counters, phases) = (Arc::new(Counters::default()), Phases::default());
+    let config = common::faktory_config_with(settings);
+    let node = Server::start(&config, 7, None, counters, phases.subscribe()).unwrap();
     let mut client = FaktoryConnection::connect_client(&node).await;
     let mut workers = Vec::new();
     for w in 0..2 {
@@ -458,6 +466,7 @@
         ));
     }
     let mut accepted = BTreeMap::new();
+    let mut fetched: BTreeMap<String, tokio::time::Instant> = BTreeMap::new();
     for step in steps {
         match step {
             Step::Push(n) => {
@@ -471,6 +480,10 @@
                 if let Some(jid) = connection.fetch().await {
                     assert!(!model.draining, "{jid} was sent to a draining worker");
                     assert!(accepted.contains_key(&jid));
+                    let previous = fetched.insert(jid.clone(), tokio::time::Instant::now());
+                    // A job that was fetched may have run; its record is kept for a minute after its end.
+                    let may_run_again = previous.is_none_or(|at| at.elapsed() >= Duration::from_secs(60));
+                    assert!(!is_unsafe || may_run_again, "{jid} of an unsafe class ran again");
                     let expiry = tokio::time::Instant::now() + Duration::from_secs(8);
                     model.held.push((jid.clone(), expiry));
                     let count_held = |m: &Model| m.held.iter().filter(|(j, _)| *j == jid).count();
@@ -489,6 +502,13 @@
                     assert!(connection.ack(&jid).await.starts_with("-ERR"), "{jid} was acknowledged twice");
                 }
             }
+            Step::Fail(w) => {
+                let (connection, model, _) = &mut workers[usize::from(w)];
+                if let Some((jid, _)) = model.held.pop() {
+                    let fail = format!("FAIL {{\"jid\":\"{jid}\",\"errtype\":\"E\",\"message\":\"m\"}}");
+                    connection.send_command(&fail).await;
+                }
+            }
             Step::Quiet(w) => {
                 let (connection, model, generation) = &mut workers[usize::from(w)];
                 let wid = format!("w{}-{generation}", u8::from(w));
@@ -524,8 +544,8 @@
 
 #[test]
 fn random_steps_keep_one_lease_and_one_final_state_per_job() {
-    fn property(steps: Vec<Step>) -> bool {
-        run_paused(run_steps(steps))
+    fn property(is_unsafe: bool, steps: Vec<Step>) -> bool {
+        run_paused(run_steps(is_unsafe, steps))
     }
-    seeded_quickcheck(60, 100).quickcheck(property as fn(Vec<Step>) -> bool);
+    seeded_quickcheck(60, 100).quickcheck(property as fn(bool, Vec<Step>) -> bool);
 }
--- a/node/tests/faktory_leases.rs
+++ b/node/tests/faktory_leases.rs
@@ -2,9 +2,9 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by a panic, also in the functions that it calls")]
 
 use bytes::Bytes;
-use dispatch_policy::api::{Outcome, WorkerId};
+use dispatch_policy::api::{Idempotency, KeyScope, Outcome, WorkerId};
 use molevale::dispatcher::{queue, stable_hash, AttemptId};
-use molevale::faktory::leases::{ClassLimits, LeaseTable};
+use molevale::faktory::leases::{ClassLimits, Intake, LeaseTable};
 use molevale::names::Names;
 use std::time::Duration;
 
@@ -13,14 +13,17 @@
 #[tokio::test]
 async fn worker_that_lost_a_lease_is_not_offered_the_job_again() {
     let (dispatcher, _inbox) = queue();
-    let names =
-        Names { classes: vec!["lodge".into()], requires_idempotency_key: vec![true], ..Names::default() };
+    let names = Names {
+        classes: vec!["lodge".into()],
+        idempotency: vec![Idempotency::WithKey(KeyScope::Fleet)],
+        ..Names::default()
+    };
     let limits =
         ClassLimits { deadline: Duration::from_secs(25), deduplication_window: Duration::from_secs(40) };
     let mut leases = LeaseTable::new(dispatcher, names, vec![limits]);
     let text = r#"{"jid":"job-00001","jobtype":"declare","args":[],"queue":"lodge"}"#;
     let job = serde_json::from_str(text).unwrap();
-    let _outcome = leases.push(job, Bytes::from_static(text.as_bytes())).unwrap();
+    let _outcome = leases.push(job, Bytes::from_static(text.as_bytes()), Intake::Open).unwrap();
     let (number, queues) = (1, ["lodge".to_string()]);
     let attempt = |attempt| AttemptId { request: 9, attempt };
     let worker = |name| WorkerId(stable_hash(name));
--- a/node/tests/golden/node/rendering.rs
+++ b/node/tests/golden/node/rendering.rs
@@ -159,7 +159,7 @@
         classes,
         retired_classes,
         inherits_from,
-        requires_idempotency_key,
+        idempotency,
         tenants,
         retired_tenants,
         zones,
@@ -170,13 +170,15 @@
         drain_grace,
         longest_deadline,
     } = names;
+    let is_keyed = |idempotency: &Idempotency| matches!(idempotency, Idempotency::WithKey(_));
+    let keyed: Vec<bool> = idempotency.iter().map(is_keyed).collect();
     let report: Vec<String> =
         report.iter().map(|(name, f)| format!("{name}: {}", report_field_key(*f))).collect();
     let fields: [(&str, &dyn Debug); 13] = [
         ("classes", classes),
         ("classes retired", retired_classes),
         ("classes continue", inherits_from),
-        ("classes keyed", requires_idempotency_key),
+        ("classes keyed", &keyed),
         ("tenants", tenants),
         ("tenants gone", retired_tenants),
         ("zones", zones),
--- a/node/tests/settings_merge.rs
+++ b/node/tests/settings_merge.rs
@@ -28,7 +28,7 @@
     };
     let names = Names {
         classes: classes.keys().map(u8::to_string).collect(),
-        requires_idempotency_key: classes.values().map(|kind| *kind == 1).collect(),
+        idempotency: classes.values().map(|kind| kinds[usize::from(*kind)]).collect(),
         inherits_from: vec![None; classes.len()],
         zones: zones.map(String::from).to_vec(),
         ..Names::default()
@@ -54,7 +54,7 @@
                 let number = new.names.class(&name.to_string());
                 let kind = number.map(|n| (now[n].deadline_us - 1) as u8);
                 assert_eq!(kind, wanted.get(&name).copied());
-                assert!(number.is_none_or(|n| new.names.requires_idempotency_key[n] == (wanted[&name] == 1)));
+                assert!(number.is_none_or(|n| new.names.idempotency[n] == now[n].idempotency));
             }
             assert!(now.len() <= 1 + 4 * 3, "a class that returns gets its number again");
             assert_eq!((new.names.inherits_from.len(), new.settings.validate()), (now.len(), Ok(())));
