--- a/node/src/dispatcher/actions.rs
+++ b/node/src/dispatcher/actions.rs
@@ -106,8 +106,8 @@
         );
         let deadline = entry.deadline;
         entry.attempts += 1;
-        entry.last_attempt =
-            Some(AttemptStart { worker, sent_at: Instant::now(), started_at: None, deadline });
+        let (sent_at, max_attempts) = (Instant::now(), entry.max_attempts);
+        entry.last_attempt = Some(AttemptStart { worker, sent_at, started_at: None, deadline, max_attempts });
         entry.attempt = AttemptState::Running(self.frontend.send(attempt_id, job, worker, deadline));
         self.counters.attempts_sent.add();
         self.add_in_flight();
--- a/node/src/dispatcher/frontend.rs
+++ b/node/src/dispatcher/frontend.rs
@@ -36,6 +36,8 @@
     pub started_at: Option<Instant>,
     /// Deadline of the request.
     pub deadline: Instant,
+    /// Maximum number of attempts of the request.
+    pub max_attempts: u32,
 }
 
 /// Executes the dispatcher's decisions in a protocol; makes none itself.
@@ -74,14 +76,7 @@
     /// Freezes a job with its running attempt, to be offered to another process, if both can be transferred. Neither
     /// makes progress here until [`Handle::transferred`](super::Handle::transferred) is called, or they are thawed;
     /// an outcome of the attempt is reported only after that.
-    fn freeze_for_transfer(
-        &mut self,
-        _sent: &AttemptStart,
-        _job: &Self::Job,
-        _attempt: &Self::Attempt,
-        _takes_claims: bool,
-    ) {
-    }
+    fn freeze_for_transfer(&mut self, _sent: &AttemptStart, _job: &Self::Job, _attempt: &Self::Attempt) {}
 
     /// Closes idle connections to a worker.
     fn close_idle(&mut self, _worker: WorkerId) {}
--- a/node/src/dispatcher/mod.rs
+++ b/node/src/dispatcher/mod.rs
@@ -142,8 +142,8 @@
             DispatcherEvent::ListTransferable(reply) => {
                 let _ = reply.send(self.transferable()); // fails if the caller no longer waits
             }
-            DispatcherEvent::FreezeForTransfer { attempt_id, takes_claims, done } => {
-                self.freeze_for_transfer(attempt_id, takes_claims);
+            DispatcherEvent::FreezeForTransfer { attempt_id, done } => {
+                self.freeze_for_transfer(attempt_id);
                 let _ = done.send(()); // fails if the caller no longer waits
             }
             DispatcherEvent::Transferred(attempt_id) => self.transferred(attempt_id),
--- a/node/src/dispatcher/queue.rs
+++ b/node/src/dispatcher/queue.rs
@@ -43,7 +43,6 @@
     ListTransferable(oneshot::Sender<Vec<AttemptId>>),
     FreezeForTransfer {
         attempt_id: AttemptId,
-        takes_claims: bool,
         done: oneshot::Sender<()>,
     },
     Transferred(AttemptId),
@@ -89,11 +88,11 @@
         attempts.await.unwrap_or_default() // fails if the dispatcher has ended and so has no requests
     }
 
-    /// Lets the frontend freeze the request of this attempt, if it still runs, to be offered to another process that
-    /// takes claims or not. Returns once that is done.
-    pub async fn freeze_for_transfer(&self, attempt_id: AttemptId, takes_claims: bool) {
+    /// Lets the frontend freeze the request of this attempt, if it still runs, to be offered to another process. Returns
+    /// once that is done.
+    pub async fn freeze_for_transfer(&self, attempt_id: AttemptId) {
         let (done, is_done) = oneshot::channel();
-        self.push(DispatcherEvent::FreezeForTransfer { attempt_id, takes_claims, done });
+        self.push(DispatcherEvent::FreezeForTransfer { attempt_id, done });
         let _ = is_done.await; // fails if the dispatcher has ended and so has no requests
     }
 
--- a/node/src/dispatcher/requests.rs
+++ b/node/src/dispatcher/requests.rs
@@ -43,7 +43,7 @@
             job: Some(job),
             deadline: sent.deadline,
             attempts: 1,
-            max_attempts: self.settings.max_attempts,
+            max_attempts: sent.max_attempts,
             last_attempt: Some(sent),
             retry_rules: RetryRules::for_class(&self.settings, request.class),
             first_possible_execution: None,
@@ -56,6 +56,7 @@
         self.notify_policy(Event::RequestAdopted {
             request,
             worker: sent.worker,
+            max_attempts: sent.max_attempts,
             since_sent_us,
             since_started_us,
         });
@@ -160,7 +161,7 @@
     }
 
     /// Lets the frontend freeze the request of an attempt that still runs.
-    pub(super) fn freeze_for_transfer(&mut self, attempt_id: AttemptId, takes_claims: bool) {
+    pub(super) fn freeze_for_transfer(&mut self, attempt_id: AttemptId) {
         if !self.requests.is_in_flight(attempt_id) {
             return;
         }
@@ -170,7 +171,7 @@
         else {
             return;
         };
-        self.frontend.freeze_for_transfer(sent, job, attempt, takes_claims);
+        self.frontend.freeze_for_transfer(sent, job, attempt);
     }
 
     /// Removes a request without an answer because another process continues this attempt.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -16,6 +16,7 @@
 #![forbid(unsafe_code)]
 
 pub mod acceptor;
+pub mod class_rules;
 pub mod cli;
 pub mod config;
 pub mod coordination;
--- a/node/src/names.rs
+++ b/node/src/names.rs
@@ -1,6 +1,7 @@
 //! Parses the settings: those of the decision module, and the names and durations that the frontends need in
 //! addition.
 
+use crate::class_rules::ClassRules;
 use dispatch_policy::api::{Idempotency, Settings};
 use dispatch_policy::settings::{self, KeyValues, ReportField};
 use serde_json::Value;
@@ -15,6 +16,9 @@
 /// Time after which a draining worker gets no further requests, if the settings state none.
 const DEFAULT_DRAIN_GRACE: Duration = Duration::from_millis(500);
 
+/// Maximum number of classes that are no longer offered in [`Names::open_class_rules`].
+const RETIRED_CLASSES_MAX: usize = 64;
+
 /// Names and durations that the frontends need in addition to the settings of the decision module. A name's index
 /// in its list is its number in the decision module.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,6 +31,8 @@
     pub inherits_from: Vec<Option<usize>>,
     /// For each class, whether its requests may be executed more than once.
     pub idempotency: Vec<Idempotency>,
+    /// For each class, its rules as other processes of the node know them.
+    pub class_rules: Vec<ClassRules>,
     /// Names of the tenants.
     pub tenants: Vec<String>,
     /// Numbers of the tenants that are no longer in the settings.
@@ -54,6 +60,19 @@
         (0..self.classes.len()).find(|number| self.classes[*number] == name && is_offered(number))
     }
 
+    /// Number of the class, offered or not, that has exactly these rules.
+    pub fn class_with_rules(&self, rules: &ClassRules) -> Option<usize> {
+        self.class_rules.iter().position(|other| other == rules)
+    }
+
+    /// Rules of the classes that open requests may have: those that are offered, and the newest of the others.
+    pub fn open_class_rules(&self) -> Vec<ClassRules> {
+        let (retired, offered): (Vec<usize>, Vec<usize>) =
+            (0..self.class_rules.len()).partition(|class| self.retired_classes.contains(class));
+        let newest_retired = retired.into_iter().rev().take(RETIRED_CLASSES_MAX);
+        offered.into_iter().chain(newest_retired).map(|class| self.class_rules[class].clone()).collect()
+    }
+
     /// Number of the tenant with this name.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         let is_current = |number: &usize| !self.retired_tenants.contains(number);
@@ -96,6 +115,9 @@
 ) -> Result<Names, ParseError> {
     let classes = item_names(value, "Profiles", settings.classes.len())?;
     let tenants = item_names(value, "Parties", settings.tenants.len())?;
+    let kinds = value.get("HostTypes").map(scalar_names).unwrap_or_default();
+    let named_classes = classes.iter().zip(&settings.classes);
+    let class_rules = named_classes.map(|(name, class)| ClassRules::new(name, class, &kinds)).collect();
     let report_names = value.get("Stats").and_then(|stats| stats.get("Fields")).map(scalar_names);
     let longest = settings.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0);
     let duration = |key: &str, default: Duration| {
@@ -106,10 +128,11 @@
         classes,
         retired_classes: Vec::new(),
         idempotency: settings.classes.iter().map(|class| class.idempotency).collect(),
+        class_rules,
         tenants,
         retired_tenants: Vec::new(),
         zones: value.get("Azs").map(scalar_names).unwrap_or_default(),
-        kinds: value.get("HostTypes").map(scalar_names).unwrap_or_default(),
+        kinds,
         report: report_names.unwrap_or_default().into_iter().zip(report_fields).collect(),
         connect_timeout: duration("Limits.ConnectTimeoutUs", DEFAULT_CONNECT_TIMEOUT)?,
         worker_idle_timeout: duration("Limits.ConnIdleUs", DEFAULT_CONNECTION_IDLE)?,
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -1,5 +1,6 @@
 //! Fields of the platform's protocol: parses requests, updates from workers, and load reports.
 
+use super::job_handover::RequestNumbers;
 use crate::dispatcher::stable_hash;
 use crate::names::Names;
 use bytes::Bytes;
@@ -81,6 +82,14 @@
         }
     }
 
+    /// Numbers of the class and the tenant, if the request has what its class requires.
+    fn numbers(&self, path: &str, names: &Names) -> Result<RequestNumbers, FieldError> {
+        let class = self.class(path, names)?;
+        let tenant = self.tenant(names)?;
+        self.check_idempotency_key(names.idempotency[class])?;
+        Ok(RequestNumbers { class, tenant })
+    }
+
     fn check_idempotency_key(&self, idempotency: Idempotency) -> Result<(), FieldError> {
         match idempotency {
             Idempotency::WithKey(_) if self.text("idempotency-key").is_empty() => {
@@ -119,7 +128,8 @@
     }
 }
 
-/// Parses the fields of a request that the decision module needs. The dispatcher assigns the `id` later.
+/// Parses the fields of a request that the decision module needs. The dispatcher assigns the `id` later. A request of
+/// another process keeps the class and the tenant under which that one accepted it.
 ///
 /// # Errors
 /// [`FieldError`]: the first invalid field.
@@ -128,12 +138,14 @@
     path: &str,
     query: &str,
     names: &Names,
+    adopted: Option<RequestNumbers>,
 ) -> Result<Request, FieldError> {
     let headers = Headers(headers);
     headers.check_request_id()?;
-    let class = headers.class(path, names)?;
-    let tenant = headers.tenant(names)?;
-    headers.check_idempotency_key(names.idempotency[class])?;
+    let RequestNumbers { class, tenant } = match adopted {
+        Some(numbers) => numbers,
+        None => headers.numbers(path, names)?,
+    };
     Ok(Request {
         id: 0,
         class,
--- a/node/src/platform/job_handover.rs
+++ b/node/src/platform/job_handover.rs
@@ -6,6 +6,7 @@
 use super::request_progress::SharedProgress;
 use super::socket::SocketHandle;
 use super::Job;
+use crate::class_rules::ClassRules;
 use crate::dispatcher::{AttemptId, AttemptStart};
 use crate::monotonic;
 use crate::names::Names;
@@ -103,13 +104,49 @@
     }
 }
 
+/// Rules under which a request was accepted, which hold for it in every process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct RequestRules {
+    /// Rules of its class.
+    class: ClassRules,
+    /// Maximum number of its attempts.
+    #[serde(rename = "attempts")]
+    max_attempts: u32,
+}
+
+/// Numbers of a request's class and tenant in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestNumbers {
+    /// Number of the class.
+    pub class: usize,
+    /// Number of the tenant; 0 if tenants are not configured.
+    pub tenant: usize,
+}
+
+/// Why this process does not continue a request of another process, which stays there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AdoptionError {
+    /// The request comes without its rules, as from an earlier version.
+    #[error("the request comes without its rules")]
+    UnknownRules,
+    /// No class has the rules under which the request was accepted.
+    #[error("no class has the rules of the request")]
+    DifferentRules,
+    /// The tenant is not configured.
+    #[error("the tenant is unknown")]
+    UnknownTenant,
+}
+
 /// A running request as it is sent to another process, apart from its two sockets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TransferredJob {
-    /// The class, by name.
-    pub class: String,
+    /// The class, by name, for processes of earlier versions.
+    class: String,
+    /// The rules of the request; `None` from a process of an earlier version.
+    #[serde(default)]
+    rules: Option<RequestRules>,
     /// The tenant, by name; empty if tenants are not configured.
-    pub tenant: String,
+    tenant: String,
     target: String,
     #[serde(rename = "id")]
     wire_id: String,
@@ -144,6 +181,8 @@
     pub response: Bytes,
     /// Start of the attempt, for the dispatcher.
     pub start: AttemptStart,
+    /// Class and tenant of its request.
+    pub numbers: RequestNumbers,
 }
 
 impl TransferredJob {
@@ -170,8 +209,10 @@
         }
         let text = |value: &hyper::header::HeaderValue| value.to_str().ok().map(String::from);
         let Request { work_hint_us: cost_hint_us, is_retry, slots, memory, .. } = job.fields;
+        let class_rules = names.class_rules.get(job.fields.class)?.clone();
         let transferred = TransferredJob {
-            class: names.classes.get(job.fields.class)?.clone(),
+            class: class_rules.name().to_string(),
+            rules: Some(RequestRules { class: class_rules, max_attempts: start.max_attempts }),
             tenant: names.tenants.get(job.fields.tenant).cloned().unwrap_or_default(),
             target: job.target.to_string(),
             wire_id: text(&job.id.value)?,
@@ -244,13 +285,28 @@
         request
     }
 
+    /// Numbers of the request's class and tenant in this process.
+    ///
+    /// # Errors
+    /// If this process has no class with exactly the rules of the request, or not its tenant.
+    pub fn numbers(&self, names: &Names) -> Result<RequestNumbers, AdoptionError> {
+        let rules = self.rules.as_ref().ok_or(AdoptionError::UnknownRules)?;
+        let class = names.class_with_rules(&rules.class).ok_or(AdoptionError::DifferentRules)?;
+        let tenant = match names.tenant(&self.tenant) {
+            Some(tenant) => tenant,
+            None if names.tenants.is_empty() => 0,
+            None => return Err(AdoptionError::UnknownTenant),
+        };
+        Ok(RequestNumbers { class, tenant })
+    }
+
     /// Wire id of the request.
     pub fn wire_id(&self) -> &str {
         &self.wire_id
     }
 
-    /// The attempt to continue over this socket, which is connected to the worker.
-    pub fn to_attempt(&self, socket: OwnedFd) -> TransferredAttempt {
+    /// The attempt to continue over this socket, which is connected to the worker, for a request with these numbers.
+    pub fn to_attempt(&self, socket: OwnedFd, numbers: RequestNumbers) -> TransferredAttempt {
         let (worker, address, since_sent, since_started) = self.worker;
         let ago = |duration: Duration| Instant::now().checked_sub(duration).unwrap_or_else(Instant::now);
         let start = AttemptStart {
@@ -258,7 +314,8 @@
             sent_at: ago(since_sent),
             started_at: since_started.map(ago),
             deadline: Instant::now() + self.time_left,
+            max_attempts: self.rules.as_ref().map_or(1, |rules| rules.max_attempts),
         };
-        TransferredAttempt { socket, address, response: self.response.clone(), start }
+        TransferredAttempt { socket, address, response: self.response.clone(), start, numbers }
     }
 }
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -95,8 +95,8 @@
     pub phases: Phases,
     /// Address of discovery.
     pub discovery: watch::Receiver<Option<SocketAddr>>,
-    /// Settings in force.
-    pub effective_settings: watch::Receiver<EffectiveSettings>,
+    /// Settings in force. The classes of the predecessor's open requests are added.
+    pub effective_settings: watch::Sender<EffectiveSettings>,
     /// Set to true once the frontend can serve.
     pub ready: watch::Sender<bool>,
     /// Process that this one takes over from, if any. Its listener is passed to [`serve`].
--- a/node/src/platform/offered_request.rs
+++ b/node/src/platform/offered_request.rs
@@ -23,8 +23,7 @@
     transferred: TransferredJob,
     frozen_at: Instant,
     deadline: Instant,
-    /// `None` if the successor does not take claims.
-    claim: Option<Claim>,
+    claim: Claim,
     /// Bytes written to the client's socket before the offer; `None` if the kernel does not count them.
     written_before: Option<u64>,
 }
@@ -37,12 +36,8 @@
         client: ClientHandle,
         worker: SocketHandle,
         (transferred, deadline): (TransferredJob, Instant),
-        takes_claims: bool,
     ) -> Option<PlatformOffer> {
-        let claim = match takes_claims {
-            true => Some(Claim::new().ok()?),
-            false => None,
-        };
+        let claim = Claim::new().ok()?;
         if ownership.apply(TransferEvent::Offered).1 != Ownership::Offered {
             return None;
         }
@@ -66,9 +61,9 @@
         })
     }
 
-    /// Tries to take the claim back. A successor that does not take claims may act on the request at any time.
+    /// Tries to take the claim back.
     fn take_claim(&self) -> ClaimResult {
-        self.claim.as_ref().map_or(ClaimResult::Lost, Claim::take)
+        self.claim.take()
     }
 
     /// Whether the successor has written to the client. If the kernel does not say, it may have.
@@ -120,7 +115,7 @@
 
     fn descriptors(&self) -> Vec<BorrowedFd<'_>> {
         let sockets = [&self.client.socket_handle, &self.worker].map(|socket| socket.tcp_stream().as_fd());
-        sockets.into_iter().chain(self.claim.as_ref().map(AsFd::as_fd)).collect()
+        sockets.into_iter().chain([self.claim.as_fd()]).collect()
     }
 
     fn reply_received(&self, is_accepted: bool) -> Ownership {
--- a/node/src/platform/resource_budget.rs
+++ b/node/src/platform/resource_budget.rs
@@ -18,7 +18,7 @@
 use crate::process_handover::{HandoverSource, HeldResources, NodeState};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::{watch, Semaphore};
 use tokio::time::Instant;
 
 /// Descriptors other than those for clients and workers: standard streams, poller, signals, listeners,
@@ -71,6 +71,8 @@
 pub struct ResourceBudget {
     /// Handle to the dispatcher, to freeze requests for the successor.
     dispatcher: Handle<Job>,
+    /// Names and rules of the classes, for the successor.
+    names: watch::Receiver<Arc<Names>>,
     /// Requests that are frozen for the successor.
     pub offers: Arc<OfferExchange>,
     /// Connection slots for clients.
@@ -97,18 +99,20 @@
         dispatcher: Handle<Job>,
         limits: Limits,
         other_process: HeldResources,
-        names: &Names,
+        names: watch::Receiver<Arc<Names>>,
         counters: Arc<Counters>,
     ) -> ResourceBudget {
         let allocation = Allocation::new(limits, other_process);
         let queued_for = other_process.queued_since.map_or(Duration::ZERO, monotonic::elapsed_since);
         let now = Instant::now();
+        let pool = Arc::new(Pool::new(allocation.workers, &names.borrow(), counters));
         ResourceBudget {
             dispatcher,
+            names,
             offers: Arc::default(),
             client_slots: ConnectionSlots::new(allocation.clients),
             rejection_slots: Arc::new(Semaphore::new(REJECTION_SLOTS)),
-            pool: Arc::new(Pool::new(allocation.workers, names, counters)),
+            pool,
             body_memory_kib: Semaphore::new(allocation.bodies_kib),
             in_flight_ids: InFlightIds::default(),
             queued_since: QueuedSince::new(now.checked_sub(queued_for).unwrap_or(now)),
@@ -173,7 +177,12 @@
 
     fn node_state(&self) -> NodeState {
         let endpoint_list = self.latest_list.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        NodeState { endpoint_list, in_flight_ids: self.in_flight_ids.to_strings(), offers_claims: true }
+        NodeState {
+            endpoint_list,
+            in_flight_ids: self.in_flight_ids.to_strings(),
+            offers_claims: true,
+            class_rules: Some(self.names.borrow().open_class_rules()),
+        }
     }
 
     fn held_resources(&self) -> HeldResources {
@@ -198,8 +207,8 @@
         self.dispatcher.transferable().await
     }
 
-    async fn offer(&self, attempt_id: AttemptId, takes_claims: bool) -> Option<PlatformOffer> {
-        self.dispatcher.freeze_for_transfer(attempt_id, takes_claims).await;
+    async fn offer(&self, attempt_id: AttemptId) -> Option<PlatformOffer> {
+        self.dispatcher.freeze_for_transfer(attempt_id).await;
         self.offers.take()
     }
 }
--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -183,11 +183,14 @@
         let names = self.names.borrow().clone();
         let Ok(transferred) = serde_json::from_str::<TransferredJob>(record) else { return false };
         let transferred = transferred.after_transit();
-        let is_tenant_known = names.tenants.is_empty() || names.tenant(&transferred.tenant).is_some();
-        // A request of an unknown class or tenant stays with the predecessor, whose settings still have it.
-        if names.class(&transferred.class).is_none() || !is_tenant_known {
-            return false;
-        }
+        let numbers = match transferred.numbers(&names) {
+            Ok(numbers) => numbers,
+            Err(error) => {
+                log::debug!(event = "request_not_adopted", wire_id = transferred.wire_id(), reason:% = error;
+                    "request stays with the predecessor, under the rules with which it was accepted");
+                return false;
+            }
+        };
         let Ok(socket) = Socket::received(client, transferred.to_request_bytes()) else { return false };
         let stream = MonitoredStream::new(socket);
         let Some(slot) = self.budget.client_slots.acquire_transferred(&stream.monitor()) else {
@@ -196,7 +199,7 @@
         };
         slot.set_busy(); // it has a request, although this process has not read it yet
         reserved_ids.remove(transferred.wire_id());
-        let adopted = Some(transferred.to_attempt(worker));
+        let adopted = Some(transferred.to_attempt(worker, numbers));
         let connection = ClientConnection::new(&stream, slot, adopted, Duration::ZERO);
         let server = self.clone();
         tokio::spawn(async move { server.serve(stream, connection).await });
--- a/node/src/platform/server/request.rs
+++ b/node/src/platform/server/request.rs
@@ -77,8 +77,9 @@
         if request.uri().path() == HEALTH_CHECK_PATH && request.method() == Method::GET {
             return Ok(response::for_phase(*self.phase.borrow()));
         }
-        let routed = RoutedRequest::new(request, self.names.borrow().clone())?;
-        let validated = self.validate(routed, connection.take_adopted_attempt())?;
+        let adopted = connection.take_adopted_attempt();
+        let routed = RoutedRequest::new(request, self.names.borrow().clone(), adopted)?;
+        let validated = self.validate(routed)?;
         let complete = validated.read_body(connection).await?;
         connection.monitor.request_complete();
         connection.slot.set_busy();
@@ -87,20 +88,17 @@
     }
 
     /// Validates the fields and reserves memory for the body before it is read: many may arrive at once.
-    fn validate(
-        &self,
-        request: RoutedRequest,
-        adopted: Option<TransferredAttempt>,
-    ) -> Result<ValidatedRequest<'_>, RequestError> {
+    fn validate(&self, request: RoutedRequest) -> Result<ValidatedRequest<'_>, RequestError> {
         let max_length = request.body.size_hint().upper().unwrap_or(BODY_MAX as u64).min(BODY_MAX as u64);
         let body_memory = self.budget.body_memory_kib.try_acquire_many(max_length.div_ceil(1024) as u32).ok();
         // An adopted request is never shed: the predecessor releases the memory that it held for it.
-        if body_memory.is_none() && adopted.is_none() {
+        if body_memory.is_none() && request.adopted.is_none() {
             return Err(ShedReason::BodyMemoryFull.into());
         }
-        let RoutedRequest { head, body, names } = request;
+        let RoutedRequest { head, body, names, adopted } = request;
         let (path, query) = (head.uri.path(), head.uri.query().unwrap_or(""));
-        let fields = fields::parse_request(&head.headers, path, query, &names);
+        let numbers = adopted.as_ref().map(|adopted| adopted.numbers);
+        let fields = fields::parse_request(&head.headers, path, query, &names, numbers);
         let fields = fields.map_err(InvalidRequest::from)?;
         Ok(ValidatedRequest { head, body, names, fields, adopted, body_memory })
     }
@@ -174,17 +172,24 @@
     head: Parts,
     body: Incoming,
     names: Arc<Names>,
+    /// Attempt of the predecessor, which has checked the class of the request.
+    adopted: Option<TransferredAttempt>,
 }
 
 impl RoutedRequest {
-    fn new(request: Request<Incoming>, names: Arc<Names>) -> Result<RoutedRequest, InvalidRequest> {
+    fn new(
+        request: Request<Incoming>,
+        names: Arc<Names>,
+        adopted: Option<TransferredAttempt>,
+    ) -> Result<RoutedRequest, InvalidRequest> {
         let (head, body) = request.into_parts();
         let is_class = |class: &str| names.class(class).is_some();
         let header_class = head.headers.get("x-class").map_or(b"".as_slice(), |v| v.as_bytes());
         // An unknown class in the header is reported as such, whatever the path is.
         let has_unknown_class_header =
             std::str::from_utf8(header_class).map_or(true, |c| !c.is_empty() && !is_class(c));
-        if !is_class(&fields::class_in_path(head.uri.path())) && !has_unknown_class_header {
+        let is_routed = adopted.is_some() || is_class(&fields::class_in_path(head.uri.path()));
+        if !is_routed && !has_unknown_class_header {
             return Err(InvalidRequest::UnknownPath);
         }
         if head.method != Method::POST {
@@ -193,7 +198,7 @@
         if body.size_hint().lower() > BODY_MAX as u64 {
             return Err(InvalidRequest::BodyTooLong);
         }
-        Ok(RoutedRequest { head, body, names })
+        Ok(RoutedRequest { head, body, names, adopted })
     }
 }
 
--- a/node/src/platform/startup.rs
+++ b/node/src/platform/startup.rs
@@ -67,9 +67,12 @@
         dependencies: Dependencies,
         handle: Handle<Job>,
     ) -> (Startup, Option<HandedOverPredecessor>) {
-        let Dependencies { counters, mut effective_settings, predecessor, .. } = dependencies;
-        let EffectiveSettings { settings, names: initial_names } =
-            effective_settings.borrow_and_update().clone();
+        let Dependencies { counters, effective_settings, predecessor, .. } = dependencies;
+        if let Some(predecessor) = &predecessor {
+            add_open_classes(&effective_settings, predecessor);
+        }
+        let effective_settings = effective_settings.subscribe();
+        let EffectiveSettings { settings, names: initial_names } = effective_settings.borrow().clone();
         let (names_sender, names) = watch::channel(Arc::new(initial_names.clone()));
         let (mut initial_endpoints, mut predecessor_usage, mut handed_over) =
             (config.known_endpoints, HeldResources::default(), None);
@@ -82,7 +85,7 @@
             handle.clone(),
             config.limits,
             predecessor_usage,
-            &initial_names,
+            names.clone(),
             counters.clone(),
         );
         let budget = Arc::new(budget);
@@ -222,6 +225,19 @@
     }
 }
 
+/// Adds the classes that open requests of the predecessor may have, so that requests whose class has other rules here can be
+/// continued under their own.
+fn add_open_classes(settings: &watch::Sender<EffectiveSettings>, predecessor: &Predecessor) {
+    let Some(classes) = &predecessor.state.class_rules else { return };
+    let extended = settings.borrow().with_retired_classes(classes);
+    let added = extended.names.classes.len() - settings.borrow().names.classes.len();
+    if added > 0 {
+        log::info!(event = "predecessor_classes_added", added;
+            "classes of the old process with other rules continue for its open requests");
+        settings.send_replace(extended);
+    }
+}
+
 /// Takes over from the predecessor; returns the resources that it still holds.
 async fn take_over(predecessor: Predecessor) -> (HeldResources, HandedOverPredecessor) {
     let in_flight_ids = predecessor.state.in_flight_ids.clone();
--- a/node/src/platform/transport.rs
+++ b/node/src/platform/transport.rs
@@ -93,13 +93,7 @@
         attempt.shared.is_abandoned.store(true, Ordering::Relaxed);
     }
 
-    fn freeze_for_transfer(
-        &mut self,
-        sent: &AttemptStart,
-        job: &Job,
-        attempt: &AttemptHandle,
-        takes_claims: bool,
-    ) {
+    fn freeze_for_transfer(&mut self, sent: &AttemptStart, job: &Job, attempt: &AttemptHandle) {
         let is_watched = job.is_adopted && self.offers.has_predecessor.load(Ordering::Relaxed);
         let client = job.client.clone().filter(|_| !is_watched);
         let offer = client.and_then(|client| {
@@ -111,7 +105,6 @@
                 client,
                 worker,
                 (transferred, sent.deadline),
-                takes_claims,
             )
         });
         self.offers.put(offer);
--- a/node/src/process_handover/link.rs
+++ b/node/src/process_handover/link.rs
@@ -32,8 +32,10 @@
     Serving,
     /// The new process is ready to continue running requests, but cannot take claims.
     Ready,
-    /// The new process is ready to continue running requests, and takes their claims.
+    /// The new process is ready to continue running requests, and takes their claims, but reads them by its own rules.
     ReadyToClaim,
+    /// The new process is ready to continue running requests by the rules that come with them, and takes their claims.
+    ReadyForRules,
     /// The new process continues the transferred request.
     JobAccepted,
     /// The new process does not continue the request, which remains in the old one.
@@ -47,6 +49,7 @@
             Message::Serving,
             Message::Ready,
             Message::ReadyToClaim,
+            Message::ReadyForRules,
             Message::JobAccepted,
             Message::JobRejected,
         ];
@@ -58,6 +61,7 @@
             Message::Serving => "serving",
             Message::Ready => "ready",
             Message::ReadyToClaim => "ready claims",
+            Message::ReadyForRules => "ready rules",
             Message::JobAccepted => "ok",
             Message::JobRejected => "no",
         }
--- a/node/src/process_handover/mod.rs
+++ b/node/src/process_handover/mod.rs
@@ -15,6 +15,7 @@
 pub use predecessor::{Predecessor, PredecessorLink, PredecessorLookup};
 pub use successor::serve_successors;
 
+use crate::class_rules::ClassRules;
 use crate::dispatcher::AttemptId;
 use crate::endpoint_list::EndpointList;
 use serde::{Deserialize, Serialize};
@@ -41,6 +42,10 @@
     /// offered, so nothing is adopted from it.
     #[serde(rename = "claims", default)]
     pub offers_claims: bool,
+    /// Rules of the classes that its open requests may have; `None` from an earlier version, which sends no rules with its
+    /// requests either.
+    #[serde(rename = "classes", default)]
+    pub class_rules: Option<Vec<ClassRules>>,
 }
 
 /// Upper bound of the resources that the old process holds from now on.
@@ -60,7 +65,7 @@
 pub trait OfferedRequest: Send + Sync {
     /// Serializes the request as of the moment of the call; `None` if that fails.
     fn to_json(&self) -> Option<String>;
-    /// Sockets of its client and its worker, and its claim if the successor takes claims.
+    /// Sockets of its client and its worker, and its claim.
     fn descriptors(&self) -> Vec<BorrowedFd<'_>>;
     /// The successor has accepted or rejected the request, or the offer could not be sent.
     fn reply_received(&self, is_accepted: bool) -> Ownership;
@@ -87,13 +92,8 @@
     fn close_idle(&self);
     /// Running attempts whose requests may be transferred.
     fn transferable(&self) -> impl Future<Output = Vec<AttemptId>> + Send;
-    /// Freezes the request of an attempt, to be offered; `None` if it can no longer be transferred. `takes_claims`
-    /// tells whether the successor takes claims.
-    fn offer(
-        &self,
-        attempt_id: AttemptId,
-        takes_claims: bool,
-    ) -> impl Future<Output = Option<Self::Request>> + Send;
+    /// Freezes the request of an attempt, to be offered; `None` if it can no longer be transferred.
+    fn offer(&self, attempt_id: AttemptId) -> impl Future<Output = Option<Self::Request>> + Send;
 }
 
 /// Path of the socket at which the process that serves this address waits for its successor. It is in
--- a/node/src/process_handover/predecessor.rs
+++ b/node/src/process_handover/predecessor.rs
@@ -74,15 +74,16 @@
         });
         log::info!(event = "handover_taken_over", descriptors = held.descriptors, bodies_kib = held.bodies_kib;
             "took over from the predecessor, which still holds these resources");
-        let offers_claims = self.state.offers_claims;
-        (held, PredecessorLink { link: self.link, offers_claims, is_report_pending })
+        let ready_message = ready_message(&self.state);
+        (held, PredecessorLink { link: self.link, ready_message, is_report_pending })
     }
 }
 
 /// Link to the predecessor after this process has taken over.
 pub struct PredecessorLink {
     link: Link,
-    offers_claims: bool,
+    /// Message that asks for the running requests.
+    ready_message: Message,
     /// Whether the first report of held resources is still to come.
     is_report_pending: bool,
 }
@@ -118,9 +119,7 @@
         if self.is_report_pending {
             on_held_resources(serde_json::from_str(&self.link.read_line().await?)?);
         }
-        // A predecessor of an earlier version knows only the shorter message.
-        let ready = if self.offers_claims { Message::ReadyToClaim } else { Message::Ready };
-        self.link.send(ready).await?;
+        self.link.send(self.ready_message).await?;
         loop {
             let descriptors = self.link.receive_descriptors().await?;
             let json = self.link.read_line().await?;
@@ -137,6 +136,15 @@
     }
 }
 
+/// The message that asks a predecessor for its running requests. One of an earlier version knows only the shorter ones.
+fn ready_message(state: &NodeState) -> Message {
+    match (state.offers_claims, &state.class_rules) {
+        (true, Some(_)) => Message::ReadyForRules,
+        (true, None) => Message::ReadyToClaim,
+        (false, _) => Message::Ready,
+    }
+}
+
 /// Decides on an offer. One without a claim is rejected: its predecessor may act on it meanwhile.
 fn receive_offer(
     json: &str,
--- a/node/src/process_handover/successor.rs
+++ b/node/src/process_handover/successor.rs
@@ -140,12 +140,18 @@
             yield_now().await;
         }
         link.send_json(&source.held_resources()).await?;
-        let takes_claims = match timeout(START_TIMEOUT, link.receive()).await?? {
-            Message::ReadyToClaim => true,
-            Message::Ready => false,
-            _ => return Err(ErrorKind::InvalidData.into()),
+        let result = match timeout(START_TIMEOUT, link.receive()).await?? {
+            Message::ReadyForRules => self.offer_all(link, source).await,
+            // An earlier version would continue the requests by its own rules.
+            Message::ReadyToClaim | Message::Ready => {
+                log::info!(event = "transfer_unsupported";
+                    "the new process is of an earlier version; running requests are answered here");
+                Ok(())
+            }
+            Message::Serving | Message::JobAccepted | Message::JobRejected => {
+                return Err(ErrorKind::InvalidData.into())
+            }
         };
-        let result = self.offer_all(link, source, takes_claims).await;
         let Transfer { transferred, rejected, withdrawn } = self;
         log::info!(event = "jobs_transferred", jobs = transferred.len(), rejected = *rejected, withdrawn = *withdrawn;
             "running requests transferred to the new process");
@@ -156,10 +162,9 @@
         &mut self,
         link: &mut Link,
         source: &impl HandoverSource<Request = R>,
-        takes_claims: bool,
     ) -> io::Result<()> {
         for attempt_id in source.transferable().await {
-            let Some(request) = source.offer(attempt_id, takes_claims).await else { continue };
+            let Some(request) = source.offer(attempt_id).await else { continue };
             let result = self.offer(link, &request).await;
             // The others were not offered and stay here. This one is decided by the end of the transfer.
             if result.is_err() || request.check_answer().is_elsewhere() {
@@ -195,7 +200,7 @@
         let is_accepted = match reply? {
             Message::JobAccepted => true,
             Message::JobRejected => false,
-            Message::Serving | Message::Ready | Message::ReadyToClaim => {
+            Message::Serving | Message::Ready | Message::ReadyToClaim | Message::ReadyForRules => {
                 return Err(ErrorKind::InvalidData.into())
             }
         };
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -77,9 +77,9 @@
         self.discovery.subscribe()
     }
 
-    /// Subscribes to the settings.
-    pub fn effective_settings(&self) -> watch::Receiver<EffectiveSettings> {
-        self.effective_settings.subscribe()
+    /// The settings in force, with which later ones are merged.
+    pub fn effective_settings(&self) -> watch::Sender<EffectiveSettings> {
+        self.effective_settings.clone()
     }
 
     /// Subscribes to the membership keys; `None` if membership is off.
--- a/node/src/settings_merge.rs
+++ b/node/src/settings_merge.rs
@@ -1,9 +1,11 @@
 //! Merges new settings into the running ones. Existing numbers are kept, so that open requests keep their class and
 //! its rules, and what the decision module has learned under a number stays valid.
 
+use crate::class_rules::ClassRules;
 use crate::names::Names;
 use dispatch_policy::api::{ClassSettings, Settings, TenantSettings};
 use serde_json::Value;
+use std::time::Duration;
 
 /// Settings in effect, and the names that belong to them.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -29,6 +31,7 @@
             names: Names {
                 classes: old.classes.clone(),
                 idempotency: old.idempotency.clone(),
+                class_rules: old.class_rules.clone(),
                 inherits_from: old.inherits_from.clone(),
                 tenants: old.tenants.clone(),
                 retired_tenants: Vec::new(),
@@ -52,15 +55,8 @@
             let class = ClassSettings { required_kind, ..class.clone() };
             let is_unchanged =
                 |j: &usize| new.names.classes[*j] == *name && new.settings.classes[*j] == class;
-            let number = (0..new.settings.classes.len()).find(is_unchanged).unwrap_or_else(|| {
-                // Its requests are expected to run about as long as those of the class that had the name before.
-                new.names.inherits_from.push(new.names.classes.iter().rposition(|n| n == name));
-                new.names.classes.push(name.clone());
-                new.names.idempotency.push(class.idempotency);
-                new.settings.classes.push(class);
-                new.settings.classes.len() - 1
-            });
-            offered.push(number);
+            let unchanged = (0..new.settings.classes.len()).find(is_unchanged);
+            offered.push(unchanged.unwrap_or_else(|| new.push_class(name, class)));
         }
         new.settings.retired_classes =
             (0..new.settings.classes.len()).filter(|n| !offered.contains(n)).collect();
@@ -71,6 +67,40 @@
         new
     }
 
+    /// These settings with further classes that are not offered, for requests that another process has accepted under
+    /// these rules. A class that requires an unknown type of machine, or that the decision module rejects, is left out.
+    pub fn with_retired_classes(&self, classes: &[ClassRules]) -> EffectiveSettings {
+        let mut new = self.clone();
+        for rules in classes {
+            if new.names.class_with_rules(rules).is_some() {
+                continue;
+            }
+            let Some(class) = rules.to_settings(&new.names.kinds) else { continue };
+            let mut extended = new.clone();
+            let deadline = Duration::from_micros(class.deadline_us);
+            let number = extended.push_class(rules.name(), class);
+            extended.settings.retired_classes.push(number);
+            extended.names.retired_classes.push(number);
+            extended.names.longest_deadline = extended.names.longest_deadline.max(deadline);
+            if extended.settings.validate().is_ok() {
+                new = extended;
+            }
+        }
+        new
+    }
+
+    /// Adds a class and returns its number.
+    fn push_class(&mut self, name: &str, class: ClassSettings) -> usize {
+        let names = &mut self.names;
+        // Its requests are expected to run about as long as those of the class that had the name before.
+        names.inherits_from.push(names.classes.iter().rposition(|other| other == name));
+        names.classes.push(name.to_string());
+        names.idempotency.push(class.idempotency);
+        names.class_rules.push(ClassRules::new(name, &class, &names.kinds));
+        self.settings.classes.push(class);
+        self.settings.classes.len() - 1
+    }
+
     /// Assigns numbers to the tenants of the newer settings; one that is no longer in them has no quota and no share.
     fn merge_tenants(&mut self, newer: &EffectiveSettings) {
         let retired = TenantSettings { quota_per_s: 0.0, share: 0.0 };
--- a/node/src/startup.rs
+++ b/node/src/startup.rs
@@ -127,7 +127,7 @@
     signals: Signals,
     counters: FrontendCounters,
     discovery: watch::Receiver<Option<SocketAddr>>,
-    effective_settings: watch::Receiver<EffectiveSettings>,
+    effective_settings: watch::Sender<EffectiveSettings>,
     membership: Option<membership::Handle>,
     coordination: Option<coordination::Handle>,
     list_sharing: Option<ListSharing>,
@@ -164,7 +164,7 @@
             name: config.name.clone(),
             config: fleet.clone(),
             keys: reload.keys(),
-            settings: self.effective_settings.clone(),
+            settings: self.effective_settings.subscribe(),
             phase: self.phases.subscribe(),
         })?);
         Ok(())
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -100,6 +100,13 @@
     phase.wait_for(|p| *p == Phase::Stopping || *p == Phase::Closing).await.unwrap();
 }
 
+/// A configuration of the platform frontend with these settings.
+pub fn config_with_settings(settings: Value) -> config::Config {
+    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+        "settings": settings});
+    config::parse(&config.to_string(), |_| None).unwrap()
+}
+
 /// A Faktory configuration whose classes have this objective.
 pub fn faktory_config(objective_us: u64) -> FaktoryConfig {
     faktory_config_with(settings(false, objective_us))
@@ -462,13 +469,13 @@
         let counters = Arc::new(Counters::default());
         // A test may configure another discovery than the stand-in started here.
         let (discovery_address, address_changes) = watch::channel(Some(config.discovery));
-        let (effective_settings, settings_changes) = watch::channel(config.effective_settings.clone());
+        let effective_settings = watch::Sender::new(config.effective_settings.clone());
         let (ready, mut is_ready) = watch::channel(false);
         let dependencies = platform::Dependencies {
             counters: counters.clone(),
             phases: phases.clone(),
             discovery: address_changes,
-            effective_settings: settings_changes,
+            effective_settings: effective_settings.clone(),
             ready,
             predecessor,
             handover_path,
--- a/node/tests/golden/node/rendering.rs
+++ b/node/tests/golden/node/rendering.rs
@@ -160,6 +160,7 @@
         retired_classes,
         inherits_from,
         idempotency,
+        class_rules,
         tenants,
         retired_tenants,
         zones,
@@ -174,11 +175,13 @@
     let keyed: Vec<bool> = idempotency.iter().map(is_keyed).collect();
     let report: Vec<String> =
         report.iter().map(|(name, f)| format!("{name}: {}", report_field_key(*f))).collect();
-    let fields: [(&str, &dyn Debug); 13] = [
+    let sent: Vec<String> = class_rules.iter().map(|rules| serde_json::to_string(rules).unwrap()).collect();
+    let fields: [(&str, &dyn Debug); 14] = [
         ("classes", classes),
         ("classes retired", retired_classes),
         ("classes continue", inherits_from),
         ("classes keyed", &keyed),
+        ("classes as sent", &sent),
         ("tenants", tenants),
         ("tenants gone", retired_tenants),
         ("zones", zones),
--- a/node/tests/golden_node.rs
+++ b/node/tests/golden_node.rs
@@ -388,13 +388,17 @@
     write!(text, "== {byte}, {descriptors} descriptors\n{}", link.read_line().await).unwrap();
     link.send_text("serving\n").await;
     write!(text, "== after 'serving'\n{}", mask_durations(&link.read_line().await)).unwrap();
-    link.send_text("ready\n").await;
+    link.send_text("ready rules\n").await;
     let (byte, descriptors) = link.receive_descriptors().await;
     let transferred_job = link.read_line().await;
     let left = serde_json::from_str::<Value>(&transferred_job).unwrap()["left"]["secs"].as_u64().unwrap();
     assert!(left < 8, "{transferred_job}");
-    write!(text, "== after 'ready': {byte}, {descriptors} descriptors\n{}", mask_durations(&transferred_job))
-        .unwrap();
+    write!(
+        text,
+        "== after 'ready rules': {byte}, {descriptors} descriptors\n{}",
+        mask_durations(&transferred_job)
+    )
+    .unwrap();
     link.send_text("no\n").await;
     let reports = link.read_line().await + &link.read_line().await;
     write!(text, "== after 'no', again and again\n{}", mask_durations(&reports)).unwrap();
@@ -408,6 +412,23 @@
     assert_golden("hands_over.txt", &text.replace(&ip, "NODE"));
 }
 
+/// A job as a predecessor sends it.
+const JOB: &str = include_str!("golden/node/job.json");
+/// The same from a predecessor of an earlier version.
+const JOB_WITHOUT_RULES: &str = include_str!("golden/node/job_without_rules.json");
+
+fn recorded_job() -> Value {
+    serde_json::from_str(JOB).unwrap()
+}
+
+/// What a predecessor sends, by the version that introduced it.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+enum PredecessorVersion {
+    WithoutClaims,
+    WithClaims,
+    WithRules,
+}
+
 /// A successor that has received listener and state from a stand-in for its predecessor, and the connections of a job
 /// that the predecessor transfers.
 struct TakingOver {
@@ -423,8 +444,8 @@
 }
 
 impl TakingOver {
-    /// Starts the successor, up to its message that asks for jobs.
-    async fn start(address_number: u8, offers_claims: bool) -> TakingOver {
+    /// Starts the successor of a predecessor of this version, up to its message that asks for jobs.
+    async fn start(address_number: u8, version: PredecessorVersion) -> TakingOver {
         let ip = own_address(address_number);
         let folder = Folder::new(&format!("takes-over-{address_number}"));
         folder.write("config.json", &node_config(&ip).to_string());
@@ -442,9 +463,12 @@
         let mut text = String::new();
         link.send_descriptors(&[listener.as_fd()]).await;
         let mut state = json!({"known": node_config(&ip)["known"], "ids": [ID, OTHER_ID]});
-        if offers_claims {
+        if version >= PredecessorVersion::WithClaims {
             state["claims"] = true.into();
         }
+        if version >= PredecessorVersion::WithRules {
+            state["classes"] = json!([recorded_job()["rules"]["class"]]);
+        }
         link.send_text(&format!("{state}\n")).await;
         write!(text, "== once it has the listener and the state\n{}", link.read_line().await).unwrap();
         link.send_text("{\"descriptors\":4,\"bodies_kib\":64}\n").await;
@@ -452,21 +476,32 @@
         TakingOver { _folder: folder, ip, successor, link, client, to_client, at_worker, to_worker, text }
     }
 
-    /// Offers the recorded job with this claim, and records the reply.
-    async fn offer_job(&mut self, claim: Option<&Claim>) {
+    /// Offers this recorded job with this claim, and records the reply.
+    async fn offer_job(&mut self, job: &str, claim: Option<&Claim>) {
         let sockets = [self.to_client.as_fd(), self.to_worker.as_fd()];
         let descriptors: Vec<_> = sockets.into_iter().chain(claim.map(AsFd::as_fd)).collect();
         self.link.send_descriptors(&descriptors).await;
-        self.link.send_text(&include_str!("golden/node/job.json").replace("NODE", &self.ip)).await;
+        self.link.send_text(&job.replace("NODE", &self.ip)).await;
         write!(self.text, "== once it has a job\n{}", self.link.read_line().await).unwrap();
     }
+
+    /// Checks that neither connection of the offered job is closed.
+    async fn assert_connections_open(&mut self) {
+        let mut bytes = [0; 1];
+        for connection in [self.client.get_mut(), &mut self.at_worker] {
+            assert!(
+                timeout(READ_DELAY, connection.read(&mut bytes)).await.is_err(),
+                "neither connection is closed"
+            );
+        }
+    }
 }
 
 #[tokio::test]
 async fn a_successor_accepts_and_sends_the_recorded_messages() {
-    let mut taking_over = TakingOver::start(103, true).await;
+    let mut taking_over = TakingOver::start(103, PredecessorVersion::WithRules).await;
     let claim = Claim::new().unwrap();
-    taking_over.offer_job(Some(&claim)).await;
+    taking_over.offer_job(JOB, Some(&claim)).await;
     let TakingOver {
         _folder,
         ip,
@@ -498,14 +533,19 @@
 /// that it knows; the job and its connections stay its own.
 #[tokio::test]
 async fn a_successor_rejects_a_job_that_comes_without_a_claim() {
-    let mut taking_over = TakingOver::start(104, false).await;
-    taking_over.offer_job(None).await;
-    let mut bytes = [0; 1];
-    for connection in [taking_over.client.get_mut(), &mut taking_over.at_worker] {
-        assert!(
-            timeout(READ_DELAY, connection.read(&mut bytes)).await.is_err(),
-            "neither connection is closed"
-        );
-    }
+    let mut taking_over = TakingOver::start(104, PredecessorVersion::WithoutClaims).await;
+    taking_over.offer_job(JOB_WITHOUT_RULES, None).await;
+    taking_over.assert_connections_open().await;
     assert_golden("takes_over_without_claims.txt", &taking_over.text.replace(&taking_over.ip, "NODE"));
 }
+
+/// A predecessor of an earlier version tells the class of a job by name only, and its class may have other rules than that
+/// of the successor. It gets the messages that it knows; the job and its connections stay its own.
+#[tokio::test]
+async fn a_successor_rejects_a_job_that_comes_without_its_rules() {
+    let mut taking_over = TakingOver::start(105, PredecessorVersion::WithClaims).await;
+    let claim = Claim::new().unwrap();
+    taking_over.offer_job(JOB_WITHOUT_RULES, Some(&claim)).await;
+    taking_over.assert_connections_open().await;
+    assert_golden("takes_over_without_rules.txt", &taking_over.text.replace(&taking_over.ip, "NODE"));
+}
--- a/node/tests/limits.rs
+++ b/node/tests/limits.rs
@@ -19,6 +19,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{advance, timeout, Instant};
 
 /// Guards active clients when connections are scarce: silent connections are evicted before those that are
@@ -65,7 +66,8 @@
 async fn what_another_process_holds_is_not_allocated_until_it_is_released() {
     for (sockets, memory_mb) in [(128, 16), (256, 32), (1024, 192)] {
         let limits = Limits { sockets, memory_mb };
-        let budget = |held| ResourceBudget::new(queue().0, limits, held, &Names::default(), Arc::default());
+        let names = watch::channel(Arc::new(Names::default())).1;
+        let budget = |held| ResourceBudget::new(queue().0, limits, held, names.clone(), Arc::default());
         let old = budget(HeldResources::default());
         let all = old.allocation();
         let mut clients = acquire_busy(&old.client_slots, all.clients / 4).await;
--- a/node/tests/process_handover.rs
+++ b/node/tests/process_handover.rs
@@ -200,7 +200,7 @@
     while predecessor.counters.acknowledged.get() < 2 {
         yield_now().await;
     }
-    let mut link = HandoverLink::take_over(&path, "ready").await;
+    let mut link = HandoverLink::take_over(&path, "ready rules").await;
     let remaining_wait = |text: &str| {
         let job: serde_json::Value = serde_json::from_str(text).unwrap();
         let nanos = job["left"]["nanos"].as_u64().unwrap();
--- a/node/tests/settings_merge.rs
+++ b/node/tests/settings_merge.rs
@@ -1,6 +1,7 @@
 //! Merging of new settings into the effective ones: a class or tenant keeps its number, and a missing key is named.
 
 use dispatch_policy::api::{ClassSettings, Idempotency, KeyScope, Settings, TenantSettings};
+use molevale::class_rules::ClassRules;
 use molevale::names::Names;
 use molevale::settings_merge::{first_missing_key, EffectiveSettings};
 use quickcheck::{Gen, QuickCheck};
@@ -33,7 +34,15 @@
         zones: zones.map(String::from).to_vec(),
         ..Names::default()
     };
-    EffectiveSettings { settings, names }
+    let mut effective_settings = EffectiveSettings { settings, names };
+    effective_settings.names.class_rules = rules_of(&effective_settings);
+    effective_settings
+}
+
+fn rules_of(effective_settings: &EffectiveSettings) -> Vec<ClassRules> {
+    let EffectiveSettings { settings, names } = effective_settings;
+    let named = names.classes.iter().zip(&settings.classes);
+    named.map(|(name, class)| ClassRules::new(name, class, &names.kinds)).collect()
 }
 
 /// Open requests refer to a class by its number: whatever settings are loaded, a number keeps its settings, and a name
@@ -55,6 +64,7 @@
                 let kind = number.map(|n| (now[n].deadline_us - 1) as u8);
                 assert_eq!(kind, wanted.get(&name).copied());
                 assert!(number.is_none_or(|n| new.names.idempotency[n] == now[n].idempotency));
+                assert!(number.is_none_or(|n| new.names.class_rules[n] == rules_of(&new)[n]));
             }
             assert!(now.len() <= 1 + 4 * 3, "a class that returns gets its number again");
             assert_eq!((new.names.inherits_from.len(), new.settings.validate()), (now.len(), Ok(())));
@@ -96,3 +106,50 @@
     assert_eq!(missing(json!({"a": {"b": 1}, "list": [{"x": 1}, {"y": 1}], "plain": []})), "c.list.1.x");
     assert_eq!(missing(json!({"a": {"b": 1}, "list": []})), "c.plain");
 }
+
+/// Classes of another process keep their rules beside those of the own settings, also over a reload and a further process,
+/// and are not offered.
+#[test]
+fn classes_of_another_process_keep_their_rules_and_are_not_offered() {
+    let [unsafe_class, safe_class] = ["unsafe", "safe"].map(|semantics| {
+        let mut settings = testbed::wire::settings(true, 1_000_000);
+        settings["Profiles"][1]["Semantics"] = semantics.into();
+        let (settings, names) = molevale::names::parse_settings(&settings).unwrap();
+        EffectiveSettings { settings, names }
+    });
+    let rules = unsafe_class.names.class_rules[1].clone();
+    let second = safe_class.with_retired_classes(&unsafe_class.names.open_class_rules());
+    assert_eq!(second.names.classes, ["check", "lodge", "lodge"], "a class with the same rules is not added");
+    assert_eq!(second.with_retired_classes(&unsafe_class.names.open_class_rules()), second);
+    let reloaded = second.merged_with(&safe_class);
+    let third = safe_class.with_retired_classes(&reloaded.names.open_class_rules());
+    for process in [&second, &reloaded, &third] {
+        let number = process.names.class_with_rules(&rules).expect("a class with these rules");
+        assert_eq!(process.settings.classes[number], unsafe_class.settings.classes[1]);
+        assert_eq!(process.names.idempotency[number], Idempotency::NotIdempotent);
+        assert!(process.names.retired_classes.contains(&number));
+        assert!(process.settings.retired_classes.contains(&number));
+        assert_eq!(process.names.class("lodge"), Some(1), "the own class is offered");
+        assert_eq!(process.settings.validate(), Ok(()));
+    }
+    // A later configuration offers these rules again.
+    let offered_again = second.merged_with(&unsafe_class);
+    assert_eq!(offered_again.names.class("lodge"), offered_again.names.class_with_rules(&rules));
+}
+
+/// What a process hands on is bounded, and the classes that are offered are always among it.
+#[test]
+fn the_number_of_retired_classes_that_are_handed_on_is_bounded() {
+    let mut running = effective_settings(&BTreeMap::from([(9, 0)]), ["a", "b"]);
+    for deadline_us in 10..200 {
+        let mut newer = effective_settings(&BTreeMap::from([(9, 0), (1, 1)]), ["a", "b"]);
+        newer.settings.classes[0].deadline_us = deadline_us;
+        newer.names.class_rules = rules_of(&newer);
+        running = running.merged_with(&newer);
+    }
+    let rules = running.names.open_class_rules();
+    assert_eq!(rules.len(), 2 + 64);
+    let offered =
+        ["9", "1"].map(|name| running.names.class_rules[running.names.class(name).unwrap()].clone());
+    assert!(offered.iter().all(|class| rules.contains(class)));
+}
--- a/node/tests/transfer_ownership.rs
+++ b/node/tests/transfer_ownership.rs
@@ -79,8 +79,8 @@
     }
 }
 
-/// The message of a successor that takes claims.
-const READY: &str = "ready claims";
+/// The message of a successor that continues requests by the rules that come with them.
+const READY: &str = "ready rules";
 
 /// Lets time pass in small steps, as for a process whose successor is stalled.
 async fn pass(time: Duration) {
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -84,6 +84,8 @@
         request: Request,
         /// The worker to which it was sent.
         worker: WorkerId,
+        /// The request's maximum number of attempts.
+        max_attempts: u32,
         /// Time since the attempt was sent.
         since_sent_us: Micros,
         /// Time since the worker reported its start, if it did.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,7 @@
 use crate::slow_start::{FleetCapacity, Sender};
 use crate::table::{ClassId, Table, WorkerIndex};
 use crate::timer_queue::TimerQueue;
+use receiving::AdoptedAttempt;
 
 /// Interval of capacity checks while requests are pending: well below a typical run time, and cheap.
 const CAPACITY_CHECK_INTERVAL: Micros = 20_000;
@@ -165,8 +166,13 @@
     fn apply_event(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::RequestReceived(request) => self.receive(request, actions),
-            Event::RequestAdopted { request, worker, since_sent_us, since_started_us } => {
-                self.adopt(request, *worker, *since_sent_us, *since_started_us, actions);
+            Event::RequestAdopted { request, worker, max_attempts, since_sent_us, since_started_us } => {
+                let sent = AdoptedAttempt {
+                    worker: *worker,
+                    since_sent_us: *since_sent_us,
+                    since_started_us: *since_started_us,
+                };
+                self.adopt(request, *max_attempts, sent, actions);
             }
             Event::Acknowledged { id, attempt } => self.acknowledged(*id, *attempt, actions),
             Event::Started { id, attempt } => self.started(*id, *attempt, actions),
--- a/src/policy/receiving.rs
+++ b/src/policy/receiving.rs
@@ -14,6 +14,13 @@
 /// retrying.
 const UNMARKED_RETRY_MARGIN: Micros = 5_000;
 
+/// The attempt of a request that another process sent.
+pub(super) struct AdoptedAttempt {
+    pub worker: WorkerId,
+    pub since_sent_us: Micros,
+    pub since_started_us: Option<Micros>,
+}
+
 impl Policy {
     /// Adds a request to its tenant's queue, or answers it at once.
     pub(super) fn receive(&mut self, received: &Request, actions: &mut Vec<Action>) {
@@ -86,20 +93,20 @@
     pub(super) fn adopt(
         &mut self,
         received: &Request,
-        worker: WorkerId,
-        since_sent_us: Micros,
-        since_started_us: Option<Micros>,
+        max_attempts: u32,
+        sent: AdoptedAttempt,
         actions: &mut Vec<Action>,
     ) {
         self.receive(received, actions);
-        let index = self.endpoints.find_or_add(worker);
+        let index = self.endpoints.find_or_add(sent.worker);
         self.kinds.grow_to(KindId::default(), KindHistory::default);
         let now = self.now;
         let Some(request) = self.requests.get_mut(received.id) else { return };
-        let sent_at = now.saturating_sub(since_sent_us);
-        let started_at = since_started_us.map(|elapsed| now.saturating_sub(elapsed));
+        let sent_at = now.saturating_sub(sent.since_sent_us);
+        let started_at = sent.since_started_us.map(|elapsed| now.saturating_sub(elapsed));
         request.status = RequestStatus::InFlight;
         request.attempts = 1;
+        request.max_attempts = max_attempts;
         request.admitted_at = sent_at;
         request.attempt =
             Attempt { worker: index, sent_at, started_at, last_report_at: now, ..Attempt::default() };
--- a/tests/common/fleet_simulation.rs
+++ b/tests/common/fleet_simulation.rs
@@ -271,7 +271,8 @@
         self.track(&request, work, 1, index);
         let since_sent_us = self.rng.below(300 * MS);
         let since_started_us = (self.rng.below(2) == 0).then_some(since_sent_us / 2);
-        self.handle(Event::RequestAdopted { request, worker, since_sent_us, since_started_us });
+        let max_attempts = self.settings.max_attempts;
+        self.handle(Event::RequestAdopted { request, worker, max_attempts, since_sent_us, since_started_us });
         if let Some(index) = index {
             self.workers[index].running.push((request.id, 0));
             self.schedule_after(work, Step::Completion(request.id, 0, index));
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -985,6 +985,30 @@
     );
 }
 
+/// An adopted request keeps the number of attempts with which it was accepted.
+#[test]
+fn an_adopted_request_keeps_its_number_of_attempts() {
+    for (max_attempts, is_repeated) in [(1, false), (2, true)] {
+        let classes = vec![class_settings(Idempotency::Idempotent)];
+        let mut driver = PolicyDriver::new(
+            policy_settings(classes),
+            vec![ready_endpoint(1, 0, 0), ready_endpoint(2, 0, 0)],
+        );
+        let request = Request { id: 1, time_left_us: 4 * S, ..Request::default() };
+        let (worker, since_started_us) = (WorkerId(1), None);
+        let since_sent_us = S / 10;
+        driver.handle(Event::RequestAdopted {
+            request,
+            worker,
+            max_attempts,
+            since_sent_us,
+            since_started_us,
+        });
+        let actions = driver.end_attempt(1, 0, Outcome::Error);
+        assert_eq!(sent_to(&actions, 1).is_some(), is_repeated, "{max_attempts} attempts");
+    }
+}
+
 /// Requests adopted from another process while they run count toward the worker's limit, follow the rules of
 /// their class and have one outcome. A worker that is not in the endpoint list gets no new requests.
 #[test]
@@ -996,6 +1020,7 @@
         driver.handle(Event::RequestAdopted {
             request,
             worker: WorkerId(worker),
+            max_attempts: 3,
             since_sent_us: S,
             since_started_us: Some(S / 2),
         })
