Decision module: a worker that was never listed has no zone and no cell

Cause: an adopted request's worker that is not in this process's list counted as zone 0, cell 0, so a keyed request whose key holds within a zone or cell could be repeated at the workers of zone 0 or cell 0, which need not know the key.

Change: the locality of a worker is optional, and keys of a zone or cell are shared only between two known ones.

Evidence: the new test of tests/policy.rs fails before (Zone is sent again) and passes now.

--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -30,8 +30,8 @@
     pub id: WorkerId,
     /// Kind.
     pub kind: KindId,
-    /// Location.
-    pub locality: Locality,
+    /// Location; `None` for a worker that was never listed.
+    pub locality: Option<Locality>,
     /// Capacity relative to other workers; with live weights, the weight of an idle worker of its kind.
     pub weight: f64,
     /// Whether new requests may be sent to it.
@@ -64,12 +64,17 @@
         Worker { id, weight: 1.0, ..Worker::default() }
     }
 
+    /// Whether it is in this zone, as far as is known.
+    pub fn is_in_zone(&self, zone: u8) -> bool {
+        self.locality.is_some_and(|locality| locality.zone == zone)
+    }
+
     /// Resets what was learned before a restart, but keeps the requests in flight.
     fn restart(&mut self, endpoint: &Endpoint, started_at: Micros) {
         *self = Worker {
             id: endpoint.worker,
             kind: KindId::new(usize::from(endpoint.kind)),
-            locality: Locality { zone: endpoint.zone, cell: endpoint.cell },
+            locality: Some(Locality { zone: endpoint.zone, cell: endpoint.cell }),
             reported_start: endpoint.started_at,
             started_at,
             concurrency: self.concurrency.restarted(),
@@ -216,7 +221,7 @@
         self.other_zones.clear();
         self.weight = 0.0;
         for (index, worker) in self.workers.iter().filter(|(_, worker)| worker.is_ready) {
-            if worker.locality.zone == zone {
+            if worker.is_in_zone(zone) {
                 self.same_zone.push(index);
             } else {
                 self.other_zones.push(index);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -183,7 +183,7 @@
 
     fn price(&self, worker: &Worker) -> SendPrice {
         let settings = self.settings;
-        let is_same_zone = worker.locality.zone == settings.zone;
+        let is_same_zone = worker.is_in_zone(settings.zone);
         let has_connection =
             worker.last_used_at > 0 && self.now < worker.last_used_at + settings.idle_timeout_us;
         SendPrice {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -59,14 +59,14 @@
 }
 
 /// Returns whether a request may be sent to this worker even though its first attempt, at another worker, may
-/// have been executed.
+/// have been executed. Workers whose location is unknown share their keys only with the whole fleet.
 pub fn may_execute_again(
     class: &ClassSettings,
     settings: &Settings,
     now: Micros,
     deduplicated_until: Micros,
-    first: Locality,
-    worker: Locality,
+    first: Option<Locality>,
+    worker: Option<Locality>,
 ) -> bool {
     let scope = match class.idempotency {
         Idempotency::Idempotent => return true,
@@ -74,10 +74,11 @@
         Idempotency::WithKey(scope) => scope,
     };
     let latest_arrival = now + settings.max_send_delay_us + 2 * settings.clock_resolution_us;
-    let shares_keys = match scope {
-        KeyScope::Fleet => true,
-        KeyScope::Zone => first.zone == worker.zone,
-        KeyScope::Cell => first.cell == worker.cell,
+    let shares_keys = match (scope, first, worker) {
+        (KeyScope::Fleet, _, _) => true,
+        (KeyScope::Zone, Some(first), Some(worker)) => first.zone == worker.zone,
+        (KeyScope::Cell, Some(first), Some(worker)) => first.cell == worker.cell,
+        (KeyScope::Zone | KeyScope::Cell, _, _) => false,
     };
     latest_arrival < deduplicated_until && shares_keys
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -985,6 +985,27 @@
     );
 }
 
+/// Guards against a repeat outside the cell of the first attempt: the worker of an adopted request is not in the list of this
+/// process, so its cell is unknown, and a repeat could go to a cell that does not know the key.
+#[test]
+fn a_keyed_request_of_an_unlisted_worker_is_repeated_only_if_the_whole_fleet_knows_its_key() {
+    for (scope, is_repeated) in [(KeyScope::Fleet, true), (KeyScope::Zone, false), (KeyScope::Cell, false)] {
+        let classes = vec![class_settings(Idempotency::WithKey(scope))];
+        let mut driver = PolicyDriver::new(policy_settings(classes), vec![ready_endpoint(1, 0, 0)]);
+        let request = Request { id: 1, time_left_us: 4 * S, ..Request::default() };
+        let adopted = Event::RequestAdopted {
+            request,
+            worker: WorkerId(9),
+            max_attempts: 3,
+            since_sent_us: S / 10,
+            since_started_us: None,
+        };
+        assert!(driver.handle(adopted).is_empty());
+        let actions = driver.end_attempt(1, 0, Outcome::Error);
+        assert_eq!(sent_to(&actions, 1).is_some(), is_repeated, "{scope:?}");
+    }
+}
+
 /// An adopted request keeps the number of attempts with which it was accepted.
 #[test]
 fn an_adopted_request_keeps_its_number_of_attempts() {
