Faktory: a stopping node waits until clients have read the end of their jobs

Cause: Server::drain waited for open jobs only, and its return ends the process. A push is answered +OK long before the job ends, so no connection stands for the answer that is owed.

Change: the lease table knows which accepted pushes have not read their end; it counts as read once the reply to TRACK GET is written. The frontend accepts connections and serves until no job is open and nothing is owed that a client can still get: until it is read, the class's deadline has passed, or 0.18 s are left before SIGKILL may come. Related: the listener was closed 0.72 s after SIGTERM, so a client that asks over a new connection got nothing; a job taken between 0.70 and 0.72 s could not be answered before SIGKILL, and is not taken.

--- a/node/src/faktory/leases/job.rs
+++ b/node/src/faktory/leases/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use std::collections::BTreeSet;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Number of a job in the table; the dispatcher refers to the job by it.
 pub type JobNumber = u64;
@@ -37,8 +38,8 @@
     Submitted(Vec<oneshot::Sender<PushOutcome>>),
     /// The dispatcher has admitted it.
     Admitted,
-    /// It has its final answer.
-    Ended(Answer),
+    /// It has its final answer, since this time.
+    Ended(Answer, Instant),
 }
 
 /// Attempt of a job in flight.
@@ -55,6 +56,10 @@
 pub(super) struct Job {
     /// Ids under which it was pushed; those after the first are of duplicates.
     pub jids: Vec<String>,
+    /// Ids under which it was pushed and whose client has not read its final answer since.
+    pub unread_by: BTreeSet<String>,
+    /// Time at which its client stops waiting for its final answer.
+    pub client_deadline: Instant,
     /// Key that it shares with its duplicates.
     pub key: IdempotencyKey,
     /// Bytes as pushed; empty after the final answer.
@@ -71,13 +76,26 @@
 impl Job {
     /// Whether it has its final answer.
     pub fn has_ended(&self) -> bool {
-        matches!(self.progress, Progress::Ended(_))
+        matches!(self.progress, Progress::Ended(..))
+    }
+
+    /// Whether it has ended and a client that still waits for its final answer has not read it.
+    pub fn has_unread_answer(&self, now: Instant) -> bool {
+        self.has_ended() && !self.unread_by.is_empty() && now < self.client_deadline
+    }
+
+    /// Time at which it ended, if it has.
+    pub fn ended_at(&self) -> Option<Instant> {
+        match self.progress {
+            Progress::Ended(_, at) => Some(at),
+            Progress::Submitted(_) | Progress::Admitted => None,
+        }
     }
 
     /// State, as reported to clients.
     pub fn state(&self) -> JobState {
         match (&self.progress, &self.attempt) {
-            (Progress::Ended(answer), _) => JobState::Ended(answer.clone()),
+            (Progress::Ended(answer, _), _) => JobState::Ended(answer.clone()),
             (_, Attempt::Leased(..)) => JobState::Working,
             _ => JobState::Enqueued,
         }
--- a/node/src/faktory/leases/mod.rs
+++ b/node/src/faktory/leases/mod.rs
@@ -26,6 +26,9 @@
 /// Time after its deadline within which a command that a client sent before may arrive.
 const LATE_COMMAND_GRACE: Duration = Duration::from_secs(1);
 
+/// Time after a job's end within which its client asks for its state, as far as a process that is to end can wait.
+const READING_TIME: Duration = Duration::from_millis(500);
+
 /// Time limits of a class.
 #[derive(Clone, Copy, Debug)]
 pub struct ClassLimits {
@@ -101,6 +104,31 @@
         self.numbers_by_jid.get(jid).and_then(|number| self.jobs.get(number)).map(Job::state)
     }
 
+    /// Records that a client has read the final answer to the job that was pushed under this id.
+    pub fn answer_read(&mut self, jid: &str) {
+        let number = self.numbers_by_jid.get(jid);
+        if let Some(job) = number.and_then(|number| self.jobs.get_mut(number)) {
+            job.unread_by.remove(jid);
+        }
+    }
+
+    /// Number of ended jobs whose answer a client that still waits has not read.
+    pub fn unread_count(&self) -> usize {
+        let now = Instant::now();
+        self.jobs.values().filter(|job| job.has_unread_answer(now)).count()
+    }
+
+    /// Whether a final answer is owed that clients may still read: until `end`, or shortly after the end of a job that ended
+    /// late.
+    pub fn owes_answers(&self, end: Instant) -> bool {
+        let now = Instant::now();
+        let may_be_read = |job: &Job| {
+            let read_by = job.ended_at().map(|at| end.max(at + READING_TIME));
+            job.has_unread_answer(now) && read_by.is_some_and(|by| now < by)
+        };
+        self.jobs.values().any(may_be_read)
+    }
+
     fn allocate_number(&mut self) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
--- a/node/src/faktory/leases/submission.rs
+++ b/node/src/faktory/leases/submission.rs
@@ -1,7 +1,7 @@
 //! Submission of jobs: validation, deduplication, and the dispatcher's answer.
 
 use super::job::{Attempt, IdempotencyKey, Job, JobNumber, Progress};
-use super::LeaseTable;
+use super::{LeaseTable, LATE_COMMAND_GRACE};
 use crate::dispatcher::Answer;
 use crate::faktory::command::Push;
 use crate::names::Names;
@@ -157,7 +157,10 @@
         self.numbers_by_jid.insert(jid.clone(), number);
         self.numbers_by_key.insert(key.clone(), number);
         let (class, tenant) = (key.class, key.tenant);
+        let class_deadline = self.limits[class].deadline;
         let job = Job {
+            unread_by: BTreeSet::from([jid.clone()]),
+            client_deadline: Instant::now() + class_deadline + LATE_COMMAND_GRACE,
             jids: vec![jid],
             key,
             payload,
@@ -167,7 +170,6 @@
             lost_by: BTreeSet::new(),
         };
         self.jobs.insert(number, job);
-        let class_deadline = self.limits[class].deadline;
         let deadline = deadline_s
             .map_or(class_deadline, |s| class_deadline.min(Duration::from_secs_f64(s.min(DEADLINE_MAX_S))));
         let time_left_us = deadline.as_micros() as u64;
@@ -189,7 +191,7 @@
     /// prevents a second execution for clients that push again.
     fn may_execute_again(&self, number: JobNumber) -> bool {
         let job = &self.jobs[&number];
-        let Progress::Ended(answer) = &job.progress else { return false };
+        let Progress::Ended(answer, _) = &job.progress else { return false };
         match self.names.idempotency[job.key.class] {
             Idempotency::Idempotent => true,
             Idempotency::WithKey(_) | Idempotency::NotIdempotent => {
@@ -211,11 +213,12 @@
                 return Err(PushError::TooManyDuplicates);
             }
             job.jids.push(jid.clone());
-            self.numbers_by_jid.insert(jid, number);
+            self.numbers_by_jid.insert(jid.clone(), number);
         }
+        job.unread_by.insert(jid);
         match &mut job.progress {
             Progress::Submitted(senders) => senders.push(sender),
-            Progress::Admitted | Progress::Ended(_) => notify([sender], &PushOutcome::Accepted),
+            Progress::Admitted | Progress::Ended(..) => notify([sender], &PushOutcome::Accepted),
         }
         Ok(())
     }
@@ -241,7 +244,7 @@
             self.remove_job(number);
             return notify(senders, &outcome);
         }
-        let previous = std::mem::replace(&mut job.progress, Progress::Ended(answer));
+        let previous = std::mem::replace(&mut job.progress, Progress::Ended(answer, Instant::now()));
         let retention = self.limits[job.key.class].retention();
         self.expiries.insert((Instant::now() + retention, number));
         if let Progress::Submitted(senders) = previous {
--- a/node/src/faktory/server.rs
+++ b/node/src/faktory/server.rs
@@ -1,4 +1,5 @@
-//! Server of the Faktory frontend: start, accept loop, and shutdown once every accepted job has its answer.
+//! Server of the Faktory frontend: start, accept loop, and shutdown once every accepted job has its answer and its client
+//! has read it.
 
 use super::authentication::Challenge;
 use super::config::FaktoryConfig;
@@ -9,7 +10,7 @@
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Dispatcher};
 use crate::names::{self, parse_settings};
-use crate::phase::Phase;
+use crate::phase::{Phase, Phases};
 use crate::platform::socket::Socket;
 use crate::startup::START_RETRY_LIMIT;
 use crate::transient::retry_local_failures;
@@ -19,15 +20,16 @@
 use std::hash::{BuildHasher, Hasher};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 use tokio::time::{interval, Instant};
 
-/// Interval at which the shutdown checks whether all jobs have ended.
+/// Interval at which the shutdown checks what is still owed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the server checks whether the dispatcher still runs.
 const DISPATCHER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,7 +64,19 @@
     leases: Mutex<LeaseTable>,
     password: Option<String>,
     counters: Arc<Counters>,
-    phase: watch::Receiver<Phase>,
+    phases: Phases,
+    longest_deadline: Duration,
+    /// Number of replies that are being written.
+    replies: Arc<AtomicUsize>,
+}
+
+/// A reply that is being written, until it is dropped.
+pub(super) struct PendingReply(Arc<AtomicUsize>);
+
+impl Drop for PendingReply {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl SharedState {
@@ -81,12 +95,29 @@
         &self.counters
     }
 
-    /// Whether new jobs are taken in the current phase of the process.
+    /// Whether new jobs are taken. None are once they would have to be answered before SIGKILL may come.
     pub fn intake(&self) -> Intake {
-        match self.phase.borrow().closes_connections() {
-            true => Intake::Closed,
-            false => Intake::Open,
+        let is_closing = self.phases.subscribe().borrow().closes_connections();
+        if is_closing || self.phases.answer_deadline(self.longest_deadline).is_some() {
+            return Intake::Closed;
         }
+        Intake::Open
+    }
+
+    /// Counts a reply as being written until the result is dropped.
+    pub fn begin_reply(&self) -> PendingReply {
+        self.replies.fetch_add(1, Ordering::Relaxed);
+        PendingReply(self.replies.clone())
+    }
+
+    /// Whether clients and workers are owed something that they can still get until `end`: the end of a job, the answer to
+    /// one, or a reply.
+    fn owes_anything(&self, jobs_end: Instant, end: Instant) -> bool {
+        let now = Instant::now();
+        let leases = self.leases();
+        (leases.open_job_count() > 0 && now < jobs_end)
+            || leases.owes_answers(end)
+            || (self.replies.load(Ordering::Relaxed) > 0 && now < end)
     }
 
     /// Generates the challenge of a session, if there is a password.
@@ -125,7 +156,6 @@
 pub struct Server {
     shared: Arc<SharedState>,
     dispatcher: Arc<AbortHandle>,
-    longest_deadline: Duration,
 }
 
 impl Server {
@@ -139,7 +169,7 @@
         seed: u64,
         password: Option<String>,
         counters: Arc<Counters>,
-        phase: watch::Receiver<Phase>,
+        phases: Phases,
     ) -> Result<Server, Error> {
         let (settings, names) = parse_settings(&config.settings).map_err(Error::Settings)?;
         // An offered job waits this long for a FETCH of its worker.
@@ -148,13 +178,20 @@
         let longest_deadline = limits.iter().map(|class| class.deadline).max().unwrap_or_default();
         let (handle, inbox) = queue();
         let leases = Mutex::new(LeaseTable::new(handle.clone(), names, limits));
-        let shared = Arc::new(SharedState { leases, password, counters: counters.clone(), phase });
+        let shared = Arc::new(SharedState {
+            leases,
+            password,
+            counters: counters.clone(),
+            phases,
+            longest_deadline,
+            replies: Arc::default(),
+        });
         let transport = FaktoryTransport { shared: shared.clone() };
         let dispatcher =
             Dispatcher::new(settings, seed, transport, counters).map_err(Error::InvalidSettings)?;
         let dispatcher = tokio::spawn(dispatcher.run(inbox)).abort_handle();
         handle.update_endpoints(Vec::new(), true);
-        Ok(Server { shared, dispatcher: Arc::new(dispatcher), longest_deadline })
+        Ok(Server { shared, dispatcher: Arc::new(dispatcher) })
     }
 
     /// Serves one connection until it ends.
@@ -162,22 +199,19 @@
         session::serve(self.shared.clone(), socket).await;
     }
 
-    /// Serves up to `connections` concurrent connections until the process is closing and every accepted job has its
-    /// answer.
+    /// Serves up to `connections` concurrent connections until the process is closing and nothing is owed. Until then,
+    /// clients can also connect anew to ask for the end of their jobs, and workers to report it.
     ///
     /// # Errors
     ///
     /// Fails if the dispatcher ends.
     pub async fn serve(&self, listener: TcpListener, connections: usize) -> Result<(), Error> {
-        let mut phase = self.shared.phase.clone();
         tokio::select! {
-            () = self.accept(listener, Arc::new(Semaphore::new(connections))) => {}
+            () = self.accept(listener, Arc::new(Semaphore::new(connections))) => Ok(()),
             // Without the dispatcher the frontend would accept connections and dispatch nothing.
-            () = self.dispatcher_ended() => return Err(Error::DispatcherEnded),
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+            () = self.dispatcher_ended() => Err(Error::DispatcherEnded),
+            () = self.drained() => Ok(()),
         }
-        self.drain().await;
-        Ok(())
     }
 
     async fn accept(&self, listener: TcpListener, slots: Arc<Semaphore>) {
@@ -195,13 +229,20 @@
         }
     }
 
-    /// Waits until all jobs have ended: workers finish the jobs they hold, and deadlines end the others.
-    async fn drain(&self) {
-        let end = Instant::now() + self.longest_deadline;
+    /// Waits until the process is closing, all jobs have ended (workers finish the jobs they hold, and deadlines end the
+    /// others), and their clients have read the answers. A client that does not ask delays the end only until SIGKILL may
+    /// come.
+    async fn drained(&self) {
+        let mut phase = self.shared.phases.subscribe();
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await; // fails if the process has no phases any more
+        let (now, longest_deadline) = (Instant::now(), self.shared.longest_deadline);
+        let end = self.shared.phases.end_deadline(longest_deadline).unwrap_or(now);
         let mut check = interval(DRAIN_CHECK_INTERVAL);
-        while self.shared.leases().open_job_count() > 0 && Instant::now() < end {
+        while self.shared.owes_anything(now + longest_deadline, end) {
             check.tick().await;
         }
+        log::info!(event = "faktory_drained", jobs = self.shared.leases().job_count(),
+            unread = self.shared.leases().unread_count(); "Faktory frontend ends");
     }
 
     /// Returns once the dispatcher has ended, which does not happen in normal operation.
@@ -232,7 +273,8 @@
     listener.map_err(|source| Error::Listen { address: config.listen, source })
 }
 
-/// Serves with this configuration until the process is closing and every accepted job has its answer.
+/// Serves with this configuration until the process is closing, every accepted job has its answer, and its client has read it
+/// or no longer can.
 ///
 /// # Errors
 ///
@@ -241,12 +283,12 @@
     config: FaktoryConfig,
     listener: TcpListener,
     counters: Arc<Counters>,
-    phase: watch::Receiver<Phase>,
+    phases: Phases,
 ) -> Result<(), Error> {
     let password = match &config.password_variable {
         Some(name) => Some(std::env::var(name).map_err(|_| Error::PasswordNotSet(name.clone()))?),
         None => None,
     };
     let seed = RandomState::new().build_hasher().finish();
-    Server::start(&config, seed, password, counters, phase)?.serve(listener, config.connections).await
+    Server::start(&config, seed, password, counters, phases)?.serve(listener, config.connections).await
 }
--- a/node/src/faktory/session.rs
+++ b/node/src/faktory/session.rs
@@ -77,16 +77,24 @@
             }
             Command::Worker(command) => self.run_worker_command(command),
             Command::Push(job, payload) => self.push(job, payload).await?,
-            Command::TrackGet(jid) => match self.shared.leases().job_state(&jid) {
-                Some(state) => Reply::Bulk(Bytes::from(encode_state(&jid, &state))),
-                None => Reply::error("this job is unknown"),
-            },
+            Command::TrackGet(jid) => return self.track(&jid).await,
             Command::Info => Reply::Bulk(Bytes::from(self.shared.info_json())),
             Command::Hello(_) => Reply::error("HELLO comes once"),
         };
         self.send(reply).await
     }
 
+    /// Sends the state of a job. Its final answer counts as read once it is written.
+    async fn track(&mut self, jid: &str) -> Result<()> {
+        let state = self.shared.leases().job_state(jid);
+        let Some(state) = state else { return self.send(Reply::error("this job is unknown")).await };
+        self.send(Reply::Bulk(Bytes::from(encode_state(jid, &state)))).await?;
+        if matches!(state, JobState::Ended(_)) {
+            self.shared.leases().answer_read(jid);
+        }
+        Ok(())
+    }
+
     /// Reads the next line. Ends the session if the connection ends or the worker's heartbeat times out.
     async fn read_line(&mut self) -> Result<Line> {
         let next = match self.read_ahead.take() {
@@ -116,6 +124,7 @@
     }
 
     async fn send(&mut self, reply: Reply) -> Result<()> {
+        let _reply = self.shared.begin_reply();
         match timeout(WRITE_TIMEOUT, self.framed.send(reply)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(SessionEnded),
--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -130,9 +130,14 @@
     /// Time by which a request that arrives now must be answered because SIGKILL may come before its own deadline;
     /// `None` if the process is not stopping, or the request may be interrupted.
     pub fn answer_deadline(&self, longest_deadline: Duration) -> Option<Instant> {
-        let stopped_at = self.stopped_at.get().filter(|at| at.elapsed() > INTERRUPTIBLE_PERIOD)?;
+        self.stopped_at.get().filter(|at| at.elapsed() > INTERRUPTIBLE_PERIOD)?;
+        self.end_deadline(longest_deadline)
+    }
+
+    /// Time by which this process should have ended because SIGKILL may come then; `None` if it was not told to stop.
+    pub fn end_deadline(&self, longest_deadline: Duration) -> Option<Instant> {
         let killed_after = longest_deadline.min(MAX_COUNTED_DEADLINE) + INTERRUPTIBLE_PERIOD;
-        Some(*stopped_at + killed_after - KILL_RESERVE)
+        self.stopped_at.get().map(|at| *at + killed_after - KILL_RESERVE)
     }
 
     /// Changes the phase if `next` returns one. Returns the phase afterwards.
--- a/node/src/startup.rs
+++ b/node/src/startup.rs
@@ -243,8 +243,8 @@
         let faktory = async {
             match faktory {
                 Some((listener, config)) => {
-                    let (counters, phase) = (self.counters.faktory.clone(), self.phases.subscribe());
-                    Ok(faktory::serve(config, listener, counters, phase).await?)
+                    let (counters, phases) = (self.counters.faktory.clone(), self.phases.clone());
+                    Ok(faktory::serve(config, listener, counters, phases).await?)
                 }
                 None => Ok(()),
             }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -127,7 +127,7 @@
         7,
         password.map(String::from),
         counters.clone(),
-        phases.subscribe(),
+        phases.clone(),
     );
     (node.unwrap(), counters, phases)
 }
--- a/node/tests/faktory.rs
+++ b/node/tests/faktory.rs
@@ -229,14 +229,9 @@
         let mut settings = common::settings(false, 6_000_000);
         settings["Profiles"][1]["RepeatWindowUs"] = 2_000_000.into();
         let (counters, phases) = (Arc::new(Counters::default()), Phases::default());
-        let node = Server::start(
-            &common::faktory_config_with(settings),
-            7,
-            None,
-            counters.clone(),
-            phases.subscribe(),
-        )
-        .unwrap();
+        let node =
+            Server::start(&common::faktory_config_with(settings), 7, None, counters.clone(), phases.clone())
+                .unwrap();
         let (mut client, mut one) = (
             FaktoryConnection::connect_client(&node).await,
             FaktoryConnection::connect_worker(&node, "one").await,
@@ -355,7 +350,7 @@
     let _frozen_clock = freeze_clock();
     let phases = Phases::default();
     let counters = Arc::new(Counters::default());
-    let node = Server::start(&faktory_config(60_000_000), 7, None, counters, phases.subscribe()).unwrap();
+    let node = Server::start(&faktory_config(60_000_000), 7, None, counters, phases.clone()).unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let server = tokio::spawn({
@@ -455,7 +450,7 @@
     }
     let (counters, phases) = (Arc::new(Counters::default()), Phases::default());
     let config = common::faktory_config_with(settings);
-    let node = Server::start(&config, 7, None, counters, phases.subscribe()).unwrap();
+    let node = Server::start(&config, 7, None, counters, phases.clone()).unwrap();
     let mut client = FaktoryConnection::connect_client(&node).await;
     let mut workers = Vec::new();
     for w in 0..2 {
--- a/node/tests/faktory_repeats.rs
+++ b/node/tests/faktory_repeats.rs
@@ -24,7 +24,7 @@
 
 fn start(settings: Value) -> (Server, Phases) {
     let (counters, phases) = (Arc::new(Counters::default()), Phases::default());
-    let server = Server::start(&faktory_config_with(settings), 7, None, counters, phases.subscribe());
+    let server = Server::start(&faktory_config_with(settings), 7, None, counters, phases.clone());
     (server.unwrap(), phases)
 }
 
