Faktory: a drained node ends instead of hanging at its last log record

The first guard lives until the statement's end, so the second call waited for a lock of its own thread, for ever. A node that owed nothing more stood until SIGKILL.

The tests of the server run without a logger, which then evaluates no field, and review/3 excuses what SIGKILL cuts, so it had passed with the fault.

Change: the number is taken before the record.

--- a/node/src/faktory/server.rs
+++ b/node/src/faktory/server.rs
@@ -241,8 +241,8 @@
         while self.shared.owes_anything(now + longest_deadline, end) {
             check.tick().await;
         }
-        log::info!(event = "faktory_drained", jobs = self.shared.leases().job_count(),
-            unread = self.shared.leases().unread_count(); "Faktory frontend ends");
+        let unread = self.shared.leases().unread_count();
+        log::info!(event = "faktory_drained", unread; "Faktory frontend ends");
     }
 
     /// Returns once the dispatcher has ended, which does not happen in normal operation.
