Soak: handovers that change a class's effect while requests of it run

Change: a profile, drawn from a sequence of its own so that the seeds of the other profiles keep their faults. Half of the handovers give `notify` (unsafe) the effect `safe`, or back, in the new file only or with SIGHUP before; two workers get requests that fail 0.8 to 1.2 s later. The oracle judges a repeat by the effect at acceptance, and takes either for requests near a change.

--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -53,3 +53,24 @@
         assert!(report.violations.is_empty(), "seed {seed}: {report}\nlogs: {}", report.log_folder.display());
     }
 }
+
+/// Guards against review 2: a request that moved to a process with other settings was repeated by the rules of those.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn handovers_to_other_settings_break_no_rule() {
+    let options = Options {
+        binary: env!("CARGO_BIN_EXE_molevale").into(),
+        nodes: 4,
+        workers: 6,
+        load_duration: Duration::from_secs(12),
+        fault_free: Duration::from_secs(1),
+        requests_per_second: 300.0,
+        faults_per_second: 4.0,
+        profile: Profile::HandoversWithSettings,
+        idle_clients: 0,
+        seed: 903,
+        verbose: false,
+    };
+    let report = run(options).await.unwrap();
+    assert!(report.requests > 1_000 && report.attempts > 1_000, "{report}");
+    assert!(report.violations.is_empty(), "{report}\nlogs: {}", report.log_folder.display());
+}
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -102,6 +102,9 @@
         /// Faults that begin per second.
         #[arg(long = "troubles", value_name = "TROUBLES", default_value_t = 3.0)]
         faults_per_second: f64,
+        /// With `--handovers`: half of them change a class's effect while requests of it run.
+        #[arg(long, requires = "handovers")]
+        settings_changes: bool,
         /// Draws mostly process handovers, disturbed by signals and stalls.
         #[arg(long)]
         handovers: bool,
@@ -188,6 +191,7 @@
             requests,
             faults_per_second,
             handovers,
+            settings_changes,
             idle_clients,
             verbose,
         } => {
@@ -199,7 +203,11 @@
                 fault_free: Duration::from_secs_f64(fault_free_s),
                 requests_per_second: requests,
                 faults_per_second,
-                profile: if handovers { Profile::Handovers } else { Profile::Mixed },
+                profile: match (handovers, settings_changes) {
+                    (true, true) => Profile::HandoversWithSettings,
+                    (true, false) => Profile::Handovers,
+                    (false, _) => Profile::Mixed,
+                },
                 idle_clients,
                 seed,
                 verbose,
--- a/testbed/src/soak/driver/execution.rs
+++ b/testbed/src/soak/driver/execution.rs
@@ -2,7 +2,9 @@
 
 use super::super::discovery::AgentMode;
 use super::super::history::Time;
-use super::super::schedule::{DisturbedHandover, FaultKind, HandoverSide, PlannedFault, SignalSeries};
+use super::super::schedule::{
+    DisturbedHandover, FaultKind, HandoverSide, PlannedFault, SettingsChange, SignalSeries,
+};
 use super::super::shim::Fault;
 use super::super::worker::WorkerMode;
 use super::processes::{drain_clients, KILL_AFTER};
@@ -21,6 +23,9 @@
     [Fault::StallBeforeSendmsg, Fault::StallAfterRecvmsg, Fault::StallBeforeLinkWrite];
 /// Time from a successor's start for which calls on the link stall.
 const LINK_STALL_TIME: Duration = Duration::from_millis(1_500);
+/// Time before a change of settings in which requests that run for long begin, and the workers that get them.
+const LONG_REQUESTS_TIME: Duration = Duration::from_millis(700);
+const FAILING_WORKERS: usize = 2;
 /// Nanoseconds in a millisecond.
 const NANOS_PER_MILLI: i64 = 1_000_000;
 
@@ -39,6 +44,7 @@
     KillSuccessor { node: usize, record: usize },
     Pause { node: usize, record: usize, until: Time },
     Terminate { node: usize, record: usize },
+    Handover(DisturbedHandover),
     UpgradeAgain { node: usize, terminate_after: Duration },
     KillProcess { node: usize, record: usize },
 }
@@ -77,6 +83,10 @@
             Action::KillSuccessor { node, record } => self.kill_successor(node, record),
             Action::Pause { node, record, until } => self.pause_process(node, record, until),
             Action::Terminate { node, record } => self.terminate_process(node, record, now),
+            Action::Handover(handover) if self.is_steady(handover.node) => {
+                self.disturb_handover(&handover, now)?;
+            }
+            Action::Handover(_) => {}
             Action::UpgradeAgain { node, terminate_after } => {
                 self.upgrade_and_terminate(node, terminate_after, now)?;
             }
@@ -101,7 +111,7 @@
             FaultKind::Kill { node } if self.is_steady(node) => self.nodes[node].kill_at = Some(now),
             FaultKind::Upgrade { node } if self.is_steady(node) => self.start_node(node)?,
             FaultKind::DisturbedHandover(handover) if self.is_steady(handover.node) => {
-                self.disturb_handover(&handover, now)?;
+                self.prepare_handover(handover, now)?;
             }
             FaultKind::FailedUpgrade { node, after } if self.is_steady(node) => {
                 self.start_node(node)?;
@@ -153,6 +163,18 @@
         self.schedule(until, Action::Resume { node, record });
     }
 
+    /// Begins a handover. Before one that changes the effect of a class, some workers get requests that run for long and fail
+    /// after it.
+    fn prepare_handover(&mut self, handover: DisturbedHandover, now: Time) -> io::Result<()> {
+        if handover.settings_change == SettingsChange::None {
+            return self.disturb_handover(&handover, now);
+        }
+        let begin = now + LONG_REQUESTS_TIME;
+        (0..FAILING_WORKERS).for_each(|worker| self.disturb_worker(worker, WorkerMode::FailingLate, begin));
+        self.schedule(begin, Action::Handover(handover));
+        Ok(())
+    }
+
     /// Starts a successor, and schedules the signals and stalls of both processes.
     fn disturb_handover(&mut self, handover: &DisturbedHandover, now: Time) -> io::Result<()> {
         let DisturbedHandover {
@@ -162,7 +184,9 @@
             ref stalls,
             link_stall_rate,
             kill_successor_after,
+            settings_change,
         } = *handover;
+        self.change_semantics(node, settings_change, now)?;
         let stalled_calls = HANDOVER_LINK_FAULTS.map(|fault| (fault, link_stall_rate)).to_vec();
         self.inject(node, stalled_calls, now + LINK_STALL_TIME)?;
         let predecessor = self.upgrade_and_terminate(node, terminate_after, now)?;
--- a/testbed/src/soak/driver/processes.rs
+++ b/testbed/src/soak/driver/processes.rs
@@ -1,8 +1,9 @@
 //! Lifecycle of the nodes' processes: start, readiness, takeover, reload, signals and end.
 
 use super::super::discovery::{Agent, AgentMode};
-use super::super::history::{ProcessRecord, Recorder, Time};
-use super::super::settings;
+use super::super::history::{ProcessRecord, Recorder, Semantics, SemanticsChange, Time};
+use super::super::schedule::SettingsChange;
+use super::super::settings::{self, Variation};
 use super::super::shim::Control;
 use super::{Driver, POLL_INTERVAL};
 use crate::process::{call, Process};
@@ -39,8 +40,7 @@
     pub(super) agent: Agent,
     /// Index of the agent's address that the node is configured with.
     pub(super) agent_address: usize,
-    max_attempts: usize,
-    cancelling: bool,
+    variation: Variation,
     /// When the node was last reconfigured to use the agent's other address.
     pub(super) discovery_moved_at: Option<Time>,
     /// Time until which the node may miss a change because a call failed or got no answer.
@@ -77,8 +77,11 @@
             control,
             agent,
             agent_address: 0,
-            max_attempts: MAX_ATTEMPTS[0],
-            cancelling: true,
+            variation: Variation {
+                max_attempts: MAX_ATTEMPTS[0],
+                cancelling: true,
+                notify: Semantics::Unsafe,
+            },
             discovery_moved_at: None,
             discovery_uncertain_until: Time::ZERO,
             kill_at: None,
@@ -95,8 +98,9 @@
     /// Alternates the settings that a reload changes.
     fn alternate_settings(&mut self) {
         let [usual, other] = MAX_ATTEMPTS;
-        self.max_attempts = if self.max_attempts == usual { other } else { usual };
-        self.cancelling = !self.cancelling;
+        let variation = &mut self.variation;
+        variation.max_attempts = if variation.max_attempts == usual { other } else { usual };
+        variation.cancelling = !variation.cancelling;
     }
 }
 
@@ -104,8 +108,7 @@
     /// Returns the configuration of a node's next process.
     fn config(&self, i: usize) -> Value {
         let (node, options) = (&self.nodes[i], &self.options);
-        let settings =
-            settings::settings(i, options.nodes, options.workers, node.max_attempts, node.cancelling);
+        let settings = settings::settings(i, options.nodes, options.workers, node.variation);
         let known = if self.starts.is_multiple_of(2) { &self.list } else { &self.initial_list };
         json!({"name": format!("n{i:02}"), "listen": self.targets[i].address.to_string(),
             "discovery": node.agent.addresses[node.agent_address].to_string(),
@@ -308,6 +311,26 @@
         } else {
             node.alternate_settings();
         }
+        self.send_reload(i)
+    }
+
+    /// Gives the class `notify` another effect in the configuration of a node, which its process reloads or not.
+    pub(super) fn change_semantics(&mut self, i: usize, change: SettingsChange, now: Time) -> io::Result<()> {
+        if change == SettingsChange::None {
+            return Ok(());
+        }
+        let notify = &mut self.nodes[i].variation.notify;
+        *notify = if *notify == Semantics::Unsafe { Semantics::Safe } else { Semantics::Unsafe };
+        let change_record = SemanticsChange { node: i, at: now, semantics: *notify };
+        self.recorder.history().semantics_changes.push(change_record);
+        match change {
+            SettingsChange::Reloaded => self.send_reload(i),
+            SettingsChange::None | SettingsChange::InFile => Ok(()),
+        }
+    }
+
+    /// Has a node's process reload the node's configuration.
+    fn send_reload(&mut self, i: usize) -> io::Result<()> {
         let mut config = self.config(i);
         let Some(process) = &mut self.nodes[i].process else { return Ok(()) };
         config["management"] = process.management.to_string().into();
--- a/testbed/src/soak/history.rs
+++ b/testbed/src/soak/history.rs
@@ -140,6 +140,17 @@
     pub known_at: Time,
 }
 
+/// A configuration that gives the class `notify` another effect at one node.
+#[derive(Clone, Copy, Debug)]
+pub struct SemanticsChange {
+    /// Node.
+    pub node: usize,
+    /// When the configuration was written.
+    pub at: Time,
+    /// Semantics of the class from then on.
+    pub semantics: Semantics,
+}
+
 /// All records of a run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -151,6 +162,8 @@
     pub processes: Vec<ProcessRecord>,
     /// Workers taken out of service.
     pub withdrawals: Vec<Withdrawal>,
+    /// Changes of a class's effect, by time.
+    pub semantics_changes: Vec<SemanticsChange>,
     /// Workers overloaded while warming up: worker, received load and allowed load.
     pub overloads: Vec<(usize, f64, f64)>,
     /// Clients that stalled within a request and got neither an answer nor a close in time: node and wait.
--- a/testbed/src/soak/oracle.rs
+++ b/testbed/src/soak/oracle.rs
@@ -25,6 +25,10 @@
     pub ready: Duration,
     /// Time within which a process has accepted a connection.
     pub accept: Duration,
+    /// Time after a new configuration is written within which the process that has it serves.
+    pub settings_known: Duration,
+    /// Time after a request is written within which its node has accepted it.
+    pub accept_late: Duration,
     /// Requests written up to this long after SIGTERM may be cut by SIGKILL.
     pub kill_excused: Duration,
     /// Tolerance for delays of the stand-ins.
@@ -44,6 +48,8 @@
             deduplication_window: ms(6_000),
             ready: ms(10_000),
             accept: ms(250),
+            settings_known: ms(2_000),
+            accept_late: ms(400),
             kill_excused: ms(700),
             tolerance: ms(40),
             has_crowd: false,
@@ -288,11 +294,12 @@
     tolerance: Duration,
 ) -> Vec<Violation> {
     let (first_request, mut violations) = (requests[0], Vec::new());
+    let semantics = semantics_at_acceptance(first_request, history, limits);
     let mut attempts = attempts.to_vec();
     attempts.sort_by_key(|attempt| attempt.first_byte);
     for (n, attempt) in attempts.iter().enumerate() {
         for earlier in &attempts[..n] {
-            violations.extend(check_pair(first_request, earlier, attempt, limits, tolerance));
+            violations.extend(check_pair(first_request, semantics, earlier, attempt, limits, tolerance));
         }
         if attempt.late_read {
             continue;
@@ -356,10 +363,26 @@
     is_late.then(|| Violation::Drained { id: request.id.clone(), node, worker, known_at: from, late })
 }
 
+/// Semantics of the class under which a node has accepted a request. `notify` is unsafe at first; while its effect changes, a
+/// node may follow either rule, and safe requests may be repeated.
+fn semantics_at_acceptance(request: &RequestRecord, history: &History, limits: &Limits) -> Semantics {
+    if request.semantics != Semantics::Unsafe {
+        return request.semantics;
+    }
+    let of_node = || history.semantics_changes.iter().filter(|change| change.node == request.node);
+    let from = request.first_byte.saturating_sub(limits.settings_known);
+    let until = request.written.unwrap_or(request.first_byte) + limits.accept_late;
+    if of_node().any(|change| (from..=until).contains(&change.at)) {
+        return Semantics::Safe;
+    }
+    of_node().filter(|change| change.at < from).last().map_or(Semantics::Unsafe, |change| change.semantics)
+}
+
 /// Checks that two attempts are not in flight at once, and that a request that may have been executed is sent
 /// again only if its class allows it.
 fn check_pair(
     request: &RequestRecord,
+    semantics: Semantics,
     earlier: &AttemptRecord,
     later: &AttemptRecord,
     limits: &Limits,
@@ -376,14 +399,14 @@
     }
     let may_have_executed = earlier.end != AttemptEnd::NotExecuted;
     let window_over = later.first_byte > last_byte + limits.deduplication_window + tolerance;
-    let forbidden = match request.semantics {
+    let forbidden = match semantics {
         Semantics::Safe => false,
         Semantics::Keyed => window_over,
         Semantics::Unsafe => true,
     };
     (may_have_executed && forbidden).then(|| Violation::Repeated {
         id: request.id.clone(),
-        semantics: request.semantics,
+        semantics,
         first: earlier.end,
     })
 }
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -15,6 +15,9 @@
 /// high rate stalls the first calls and a low one any.
 const LINK_STALL_RATE_MAX: u64 = 300_000;
 
+/// XORed with the seed of the faults to get the seed of the changes of settings.
+const SETTINGS_SEED: u64 = 0x5e77;
+
 /// Share of the handovers whose successor is killed.
 const KILLED_SUCCESSOR_SHARE: f64 = 0.2;
 /// Faults of system calls that hold a process up.
@@ -45,6 +48,8 @@
     Mixed,
     /// Mostly process handovers, each disturbed by signals and stalls.
     Handovers,
+    /// The same, and half of them change a class's effect while requests of it run.
+    HandoversWithSettings,
 }
 
 /// One of the two processes of a handover.
@@ -102,6 +107,19 @@
     pub link_stall_rate: u64,
     /// Time from the successor's start to its kill, if it is killed.
     pub kill_successor_after: Option<Duration>,
+    /// Change of the settings between the two processes.
+    pub settings_change: SettingsChange,
+}
+
+/// A change of a class's effect before a handover: the successor has other settings than open requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SettingsChange {
+    /// None.
+    None,
+    /// Only the successor reads the new configuration.
+    InFile,
+    /// The predecessor reloads the new configuration, too.
+    Reloaded,
 }
 
 /// A fault, or an action of operators.
@@ -213,9 +231,29 @@
     let count = (fault_time.as_secs_f64() * spec.faults_per_second).round() as usize;
     let mut all: Vec<PlannedFault> = (0..count).map(|_| draw_planned(spec, &mut rng)).collect();
     all.sort_by_key(|planned| planned.at);
+    if spec.profile == Profile::HandoversWithSettings {
+        draw_settings_changes(&mut all, seed);
+    }
     all
 }
 
+/// Draws the changes of settings from a sequence of their own, so that a seed has the same faults in both profiles.
+fn draw_settings_changes(all: &mut [PlannedFault], seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ SETTINGS_SEED);
+    for planned in all {
+        let FaultKind::DisturbedHandover(handover) = &mut planned.kind else { continue };
+        let drawn = match rng.random_range(0..4) {
+            0 => SettingsChange::InFile,
+            1 => SettingsChange::Reloaded,
+            _ => SettingsChange::None,
+        };
+        // A successor that is killed may leave the predecessor serving with the settings before.
+        if handover.kill_successor_after.is_none() {
+            handover.settings_change = drawn;
+        }
+    }
+}
+
 fn draw_planned(spec: &ScheduleSpec, rng: &mut SmallRng) -> PlannedFault {
     let ms = Duration::from_millis;
     let (first, last) = (spec.fault_free.as_millis() as u64, spec.load_duration.as_millis() as u64);
@@ -223,7 +261,7 @@
     let span = ms(rng.random_range(500..6_000));
     let kind = match spec.profile {
         Profile::Mixed => draw_kind(spec, rng),
-        Profile::Handovers => draw_kind_with_handovers(spec, rng),
+        Profile::Handovers | Profile::HandoversWithSettings => draw_kind_with_handovers(spec, rng),
     };
     PlannedFault { at, span, kind }
 }
@@ -280,6 +318,7 @@
         stalls,
         link_stall_rate,
         kill_successor_after: rng.random_bool(KILLED_SUCCESSOR_SHARE).then(|| ms(rng.random_range(15..400))),
+        settings_change: SettingsChange::None,
     }
 }
 
--- a/testbed/src/soak/settings.rs
+++ b/testbed/src/soak/settings.rs
@@ -53,8 +53,20 @@
     SLOTS as f64 / MEAN_WORK.as_secs_f64()
 }
 
+/// Settings that differ between the processes of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Variation {
+    /// Maximum number of attempts.
+    pub max_attempts: usize,
+    /// Whether attempts can be cancelled.
+    pub cancelling: bool,
+    /// Semantics of the class `notify`.
+    pub notify: Semantics,
+}
+
 /// Returns the settings of a node.
-pub fn settings(node: usize, nodes: usize, workers: usize, max_attempts: usize, cancelling: bool) -> Value {
+pub fn settings(node: usize, nodes: usize, workers: usize, variation: Variation) -> Value {
+    let Variation { max_attempts, cancelling, notify } = variation;
     let us = |span: Duration| span.as_micros() as u64;
     let mut settings = wire::settings(cancelling, 500_000);
     settings["Siblings"] = nodes.into();
@@ -69,7 +81,8 @@
     settings["Profiles"] = CLASSES
         .iter()
         .map(|class| {
-            let semantics = match class.semantics {
+            let semantics = if class.name == "notify" { notify } else { class.semantics };
+            let semantics = match semantics {
                 Semantics::Safe => "safe",
                 Semantics::Keyed => "keyed",
                 Semantics::Unsafe => "unsafe",
--- a/testbed/src/soak/worker.rs
+++ b/testbed/src/soak/worker.rs
@@ -52,12 +52,18 @@
     Malformed,
     /// It rejects all requests.
     Rejecting,
+    /// It runs requests for a long time and then reports that they failed.
+    FailingLate,
     /// It closes idle connections soon after a response.
     ClosingIdle,
     /// It accepts no connections; they wait in its backlog, or are dropped by the kernel.
     NotAccepting,
 }
 
+/// Additional run time in mode [`WorkerMode::FailingLate`], in milliseconds: longer than the mode lasts, and short enough
+/// for another attempt.
+const FAILING_LATE_MS: std::ops::Range<u64> = 800..1_200;
+
 /// A worker; dropping it breaks its connections.
 pub struct SoakWorker {
     /// Address at which it listens.
@@ -325,7 +331,10 @@
             return Some(if chance < 50 { AfterResponse::Reset } else { AfterResponse::Close });
         }
         sleep(Duration::from_secs_f64(work / 2.0)).await;
-        if chance < 6 {
+        if mode == WorkerMode::FailingLate {
+            sleep(Duration::from_millis(self.draw(FAILING_LATE_MS))).await;
+        }
+        if chance < 6 || mode == WorkerMode::FailingLate {
             open.end(AttemptEnd::Concluded);
             return self.send_last_line(writer, id, json!({"state": "failed"})).await;
         }
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -3,10 +3,13 @@
 
 use std::time::Duration;
 use testbed::soak::history::{
-    AttemptEnd, AttemptRecord, History, ProcessRecord, RequestEnd, RequestRecord, Semantics, Withdrawal,
+    AttemptEnd, AttemptRecord, History, ProcessRecord, RequestEnd, RequestRecord, Semantics, SemanticsChange,
+    Withdrawal,
 };
 use testbed::soak::oracle::{check_history, Limits};
-use testbed::soak::schedule::{draw, FaultKind, HandoverSide, Profile, ScheduleSpec, SignalSeries};
+use testbed::soak::schedule::{
+    draw, FaultKind, HandoverSide, Profile, ScheduleSpec, SettingsChange, SignalSeries,
+};
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -162,6 +165,39 @@
     assert_eq!(violated_rules(&history(long, attempts)), ["duplicate"], "the deduplication window is over");
 }
 
+/// What counts is the effect of the class when the request was accepted, whatever it is at the second attempt; while it
+/// changes, either may hold.
+#[test]
+fn a_repeat_is_judged_by_the_effect_at_acceptance() {
+    let request = RequestRecord {
+        first_byte: ms(10_000),
+        written: Some(ms(10_000)),
+        ended: Some(ms(10_100)),
+        ..request(Semantics::Unsafe)
+    };
+    let attempts = [(1, 10_010, AttemptEnd::Broken), (2, 10_700, AttemptEnd::Concluded)]
+        .map(|(worker, at, end)| AttemptRecord { sent_deadline: None, ..attempt(worker, at, end) });
+    let rules = |changes: &[(u64, Semantics)]| {
+        let change = |(at, semantics): &(u64, Semantics)| SemanticsChange {
+            node: 0,
+            at: ms(*at),
+            semantics: *semantics,
+        };
+        let semantics_changes = changes.iter().map(change).collect();
+        violated_rules(&History { semantics_changes, ..history(request.clone(), attempts.to_vec()) })
+    };
+    assert_eq!(rules(&[]), ["duplicate"]);
+    assert_eq!(rules(&[(10_500, Semantics::Safe)]), ["duplicate"], "changed after it was accepted");
+    assert_eq!(rules(&[(1_000, Semantics::Safe)]), Vec::<&str>::new());
+    assert_eq!(rules(&[(1_000, Semantics::Safe), (5_000, Semantics::Unsafe)]), ["duplicate"]);
+    assert_eq!(
+        rules(&[(1_000, Semantics::Safe), (9_000, Semantics::Unsafe)]),
+        Vec::<&str>::new(),
+        "just changed"
+    );
+    assert_eq!(rules(&[(10_200, Semantics::Safe)]), Vec::<&str>::new(), "it may be accepted a little later");
+}
+
 #[test]
 fn attempt_after_disconnect_drain_or_deadline_is_reported() {
     let disconnected =
@@ -280,5 +316,38 @@
         assert!(stalls().any(|stall| stall.side == side), "{side:?}");
     }
     assert!(handovers.iter().any(|handover| handover.kill_successor_after.is_some()));
+    assert!(handovers.iter().all(|handover| handover.settings_change == SettingsChange::None));
     assert!(stalls().all(|stall| stall.span <= ms(150)), "the protocol allows no longer stall");
 }
+
+/// The profile with changes of settings has the same faults, and all kinds of changes.
+#[test]
+fn changes_of_settings_are_drawn_beside_the_same_faults() {
+    let spec = ScheduleSpec {
+        nodes: 4,
+        workers: 6,
+        load_duration: ms(100_000),
+        fault_free: ms(1_000),
+        faults_per_second: 3.0,
+        profile: Profile::Handovers,
+    };
+    let without = draw(&spec, 7);
+    let with = draw(&ScheduleSpec { profile: Profile::HandoversWithSettings, ..spec }, 7);
+    let changes: Vec<SettingsChange> = with
+        .iter()
+        .filter_map(|planned| match &planned.kind {
+            FaultKind::DisturbedHandover(handover) => Some(handover.settings_change),
+            _ => None,
+        })
+        .collect();
+    for change in [SettingsChange::None, SettingsChange::InFile, SettingsChange::Reloaded] {
+        assert!(changes.contains(&change), "{change:?}");
+    }
+    let without_changes = with.into_iter().map(|mut planned| {
+        if let FaultKind::DisturbedHandover(handover) = &mut planned.kind {
+            handover.settings_change = SettingsChange::None;
+        }
+        planned
+    });
+    assert_eq!(without_changes.collect::<Vec<_>>(), without);
+}
