--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -8,6 +8,23 @@
 /// Clients of each node that connect and send nothing, in a run with a crowd.
 const IDLE_CLIENTS: usize = 150;
 
+/// Options of a run that mostly draws handovers.
+fn handover_options(profile: Profile, seed: u64, idle_clients: usize) -> Options {
+    Options {
+        binary: env!("CARGO_BIN_EXE_molevale").into(),
+        nodes: 4,
+        workers: 6,
+        load_duration: Duration::from_secs(12),
+        fault_free: Duration::from_secs(1),
+        requests_per_second: 300.0,
+        faults_per_second: 4.0,
+        profile,
+        idle_clients,
+        seed,
+        verbose: false,
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn overlapping_faults_break_no_rule() {
     let options = Options {
@@ -35,19 +52,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn disturbed_handovers_break_no_rule() {
     for (seed, idle_clients) in [(502, 0), (503, 0), (504, IDLE_CLIENTS)] {
-        let options = Options {
-            binary: env!("CARGO_BIN_EXE_molevale").into(),
-            nodes: 4,
-            workers: 6,
-            load_duration: Duration::from_secs(12),
-            fault_free: Duration::from_secs(1),
-            requests_per_second: 300.0,
-            faults_per_second: 4.0,
-            profile: Profile::Handovers,
-            idle_clients,
-            seed,
-            verbose: false,
-        };
+        let options = handover_options(Profile::Handovers, seed, idle_clients);
         let report = run(options).await.unwrap();
         assert!(report.requests > 1_000 && report.attempts > 1_000, "{report}");
         assert!(report.violations.is_empty(), "seed {seed}: {report}\nlogs: {}", report.log_folder.display());
@@ -57,19 +62,7 @@
 /// Guards against review 2: a request that moved to a process with other settings was repeated by the rules of those.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn handovers_to_other_settings_break_no_rule() {
-    let options = Options {
-        binary: env!("CARGO_BIN_EXE_molevale").into(),
-        nodes: 4,
-        workers: 6,
-        load_duration: Duration::from_secs(12),
-        fault_free: Duration::from_secs(1),
-        requests_per_second: 300.0,
-        faults_per_second: 4.0,
-        profile: Profile::HandoversWithSettings,
-        idle_clients: 0,
-        seed: 903,
-        verbose: false,
-    };
+    let options = handover_options(Profile::HandoversWithSettings, 903, 0);
     let report = run(options).await.unwrap();
     assert!(report.requests > 1_000 && report.attempts > 1_000, "{report}");
     assert!(report.violations.is_empty(), "{report}\nlogs: {}", report.log_folder.display());
--- a/testbed/src/soak/oracle.rs
+++ b/testbed/src/soak/oracle.rs
@@ -375,7 +375,7 @@
     if of_node().any(|change| (from..=until).contains(&change.at)) {
         return Semantics::Safe;
     }
-    of_node().filter(|change| change.at < from).last().map_or(Semantics::Unsafe, |change| change.semantics)
+    of_node().rfind(|change| change.at < from).map_or(Semantics::Unsafe, |change| change.semantics)
 }
 
 /// Checks that two attempts are not in flight at once, and that a request that may have been executed is sent
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -285,17 +285,21 @@
     assert!(includes(|kind| matches!(kind, FaultKind::Discovery { .. })));
 }
 
-/// The profile of handovers draws each kind of disturbance: signals in series, and stalls of either process.
-#[test]
-fn handover_profile_draws_all_disturbances() {
-    let spec = ScheduleSpec {
+fn handover_spec(profile: Profile) -> ScheduleSpec {
+    ScheduleSpec {
         nodes: 4,
         workers: 6,
         load_duration: ms(100_000),
         fault_free: ms(1_000),
         faults_per_second: 3.0,
-        profile: Profile::Handovers,
-    };
+        profile,
+    }
+}
+
+/// The profile of handovers draws each kind of disturbance: signals in series, and stalls of either process.
+#[test]
+fn handover_profile_draws_all_disturbances() {
+    let spec = handover_spec(Profile::Handovers);
     let planned = draw(&spec, 7);
     assert_eq!(planned, draw(&spec, 7));
     let handovers: Vec<_> = planned
@@ -323,16 +327,9 @@
 /// The profile with changes of settings has the same faults, and all kinds of changes.
 #[test]
 fn changes_of_settings_are_drawn_beside_the_same_faults() {
-    let spec = ScheduleSpec {
-        nodes: 4,
-        workers: 6,
-        load_duration: ms(100_000),
-        fault_free: ms(1_000),
-        faults_per_second: 3.0,
-        profile: Profile::Handovers,
-    };
+    let spec = handover_spec(Profile::Handovers);
     let without = draw(&spec, 7);
-    let with = draw(&ScheduleSpec { profile: Profile::HandoversWithSettings, ..spec }, 7);
+    let with = draw(&handover_spec(Profile::HandoversWithSettings), 7);
     let changes: Vec<SettingsChange> = with
         .iter()
         .filter_map(|planned| match &planned.kind {
