--- a/node/tests/system_calls.rs
+++ b/node/tests/system_calls.rs
@@ -13,8 +13,8 @@
 use testbed::cluster::free_block;
 use testbed::process::{call, Process};
 use testbed::soak::discovery::{Agent, List};
-use testbed::soak::history::{History, Recorder};
-use testbed::soak::settings::{settings, CLASSES};
+use testbed::soak::history::{History, Recorder, Semantics};
+use testbed::soak::settings::{settings, Variation, CLASSES};
 use testbed::soak::shim::{build, Control, Fault};
 use testbed::soak::worker::{SoakWorker, WorkerMode};
 use testbed::wire;
@@ -82,11 +82,12 @@
         let control = Control::create(folder.join("control")).unwrap();
         prepare(&control);
         let address = block.address(0, 8000);
+        let variation = Variation { max_attempts: 3, cancelling: can_cancel, notify: Semantics::Unsafe };
         let config = json!({"name": "n1", "listen": address.to_string(), "discovery": discovery[0].to_string(),
             "management": block.address(0, 9000).to_string(), "seed": "1",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
             "known": {"revision": list.revision, "complete": true, "members": list.members()},
-            "settings": settings(0, 1, workers.len(), 3, can_cancel)});
+            "settings": settings(0, 1, workers.len(), variation)});
         let variables = [("LD_PRELOAD", library.as_path()), ("SOAK_CONTROL", control.path.as_path())];
         let binary = Path::new(env!("CARGO_BIN_EXE_molevale"));
         let process = Process::start_with(binary, &folder.join("n1"), &config, &[], &variables).unwrap();
