--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -165,6 +165,14 @@
     }
 }
 
+fn soak_profile(handovers: bool, settings_changes: bool) -> Profile {
+    match (handovers, settings_changes) {
+        (true, true) => Profile::HandoversWithSettings,
+        (true, false) => Profile::Handovers,
+        (false, _) => Profile::Mixed,
+    }
+}
+
 fn run(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Demo { node } => block_on(async move { Ok(demo::run(&node).await?) }),
@@ -203,11 +211,7 @@
                 fault_free: Duration::from_secs_f64(fault_free_s),
                 requests_per_second: requests,
                 faults_per_second,
-                profile: match (handovers, settings_changes) {
-                    (true, true) => Profile::HandoversWithSettings,
-                    (true, false) => Profile::Handovers,
-                    (false, _) => Profile::Mixed,
-                },
+                profile: soak_profile(handovers, settings_changes),
                 idle_clients,
                 seed,
                 verbose,
