Faktory: a reply that is lost with its connection no longer counts as read at a stop

Callers saw: a client asked for the end of its job with TRACK GET, lost the connection before it read the reply, asked again 0.3 s later and found the node gone.

Cause: Session::track recorded the answer as read right after writing the reply. A socket that was closed takes the write and resets the connection afterwards.

Why it works: the reply counts once the client sends its next command, or when 20 ms have passed and an empty write, which fails on a reset connection, succeeds. The reply itself is not delayed. A client that stays connected and silent delays the end of a stopping node by up to 20 ms.

--- a/node/src/faktory/session.rs
+++ b/node/src/faktory/session.rs
@@ -14,9 +14,9 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::codec::Framed;
 
 /// Time limit for `HELLO`.
@@ -28,6 +28,9 @@
 /// Time limit for writing a reply, so that a peer that does not read can't keep its session open.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after a reply within which a reset shows that the peer's socket was closed before the reply reached it.
+const RESET_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Error value: the session has ended.
 struct SessionEnded;
 
@@ -84,17 +87,38 @@
         self.send(reply).await
     }
 
-    /// Sends the state of a job. Its final answer counts as read once it is written.
+    /// Sends the state of a job. Its final answer counts as read once the client can't have missed the reply.
     async fn track(&mut self, jid: &str) -> Result<()> {
         let state = self.shared.leases().job_state(jid);
         let Some(state) = state else { return self.send(Reply::error("this job is unknown")).await };
         self.send(Reply::Bulk(Bytes::from(encode_state(jid, &state)))).await?;
         if matches!(state, JobState::Ended(_)) {
+            self.confirm_receipt().await?;
             self.shared.leases().answer_read(jid);
         }
         Ok(())
     }
 
+    /// Waits until the peer sends the next command, or [`RESET_TIMEOUT`] has passed since the last reply without a reset
+    /// of the connection. A peer that closed its socket before it read the reply resets the connection.
+    async fn confirm_receipt(&mut self) -> Result<()> {
+        let written_at = Instant::now();
+        match timeout(RESET_TIMEOUT, self.framed.next()).await {
+            Ok(Some(Err(_))) => return Err(SessionEnded),
+            Ok(Some(line)) => {
+                self.read_ahead = Some(line);
+                return Ok(());
+            }
+            Ok(None) => sleep_until(written_at + RESET_TIMEOUT).await, // the reset may follow the end of the stream
+            Err(_) => {}
+        }
+        // An empty write sends nothing. It fails if the connection was reset.
+        match timeout(WRITE_TIMEOUT, self.framed.get_mut().write(&[])).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(SessionEnded),
+        }
+    }
+
     /// Reads the next line. Ends the session if the connection ends or the worker's heartbeat times out.
     async fn read_line(&mut self) -> Result<Line> {
         let next = match self.read_ahead.take() {
--- a/node/tests/faktory_shutdown.rs
+++ b/node/tests/faktory_shutdown.rs
@@ -55,6 +55,15 @@
         (client, worker)
     }
 
+    /// Connects a client over TCP.
+    async fn connect_tcp(&self) -> FaktoryConnection {
+        let socket = TcpStream::connect(self.address).await.unwrap();
+        let mut client = FaktoryConnection(BufReader::new(Box::new(socket)));
+        client.read_reply().await;
+        assert_eq!(client.send_command("HELLO {\"v\":2}").await, "+OK");
+        client
+    }
+
     /// State of a job, as a client reads it before the process ends.
     async fn job_state(&self, client: &mut FaktoryConnection, jid: &str) -> String {
         assert!(!self.task.is_finished(), "the node has ended before {jid} was asked for");
@@ -163,6 +172,46 @@
     assert!(ended_after > KILL_AFTER && ended_after < ms(8_600), "{ended_after:?}");
 }
 
+/// How a client's connection ends behind its question for the end of a job.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// It is closed before the reply comes.
+    ClosedBeforeReply,
+    /// It is closed while the reply lies unread in the socket.
+    ReplyUnread,
+}
+
+impl Loss {
+    async fn play(self, node: &Node, jid: &str) {
+        let mut client = node.connect_tcp().await;
+        client.send_line(&format!("TRACK GET {jid}")).await;
+        if let Loss::ReplyUnread = self {
+            sleep(ms(10)).await;
+        }
+    }
+}
+
+/// Guards against a reply that counts as read although its connection was lost: the client asks again over a new one.
+#[tokio::test]
+async fn a_reply_that_is_lost_with_its_connection_does_not_end_a_stopping_node() {
+    for loss in [Loss::ClosedBeforeReply, Loss::ReplyUnread] {
+        let node = Node::start().await;
+        let (_client, mut worker) = node.begin_job("job-00001").await;
+        assert_eq!(worker.ack("job-00001").await, "+OK");
+        begin_stop(&node.phases).await;
+        let stopped_at = Instant::now();
+        sleep(ms(900)).await;
+        loss.play(&node, "job-00001").await;
+        sleep(ms(300)).await;
+        assert!(!node.task.is_finished(), "{loss:?}: the node has ended, its client knows nothing");
+        let mut client = node.connect_tcp().await;
+        assert_eq!(client.job_state("job-00001").await, "served", "{loss:?}");
+        drop(client);
+        let ended_after = node.end(stopped_at).await;
+        assert!(ended_after < ms(2_000), "{loss:?}: {ended_after:?}: nothing is owed any more");
+    }
+}
+
 /// Clients that connect anew to ask are served while the node drains; new jobs are not taken then.
 #[tokio::test(start_paused = true)]
 async fn a_draining_node_serves_clients_that_connect_anew() {
@@ -175,10 +224,7 @@
         advance(ms(50)).await;
         yield_now().await;
     }
-    let socket = TcpStream::connect(node.address).await.unwrap();
-    let mut late = FaktoryConnection(BufReader::new(Box::new(socket)));
-    late.read_reply().await;
-    assert_eq!(late.send_command("HELLO {\"v\":2}").await, "+OK");
+    let mut late = node.connect_tcp().await;
     assert_eq!(late.job_state("job-00001").await, "working");
     assert!(late.push("lodge", "job-00002", "b").await.starts_with("-SHUTDOWN"));
     assert_eq!(late.push("lodge", "job-00001", "job-00001").await, "+OK", "a repeat of its job");
--- a/node/tests/soak_faktory.rs
+++ b/node/tests/soak_faktory.rs
@@ -14,8 +14,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use testbed::process::{call, Process};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -28,6 +27,8 @@
 /// Deadline of both classes, and time from SIGTERM to SIGKILL that follows from it.
 const DEADLINE: Duration = Duration::from_secs(3);
 const KILL_AFTER: Duration = Duration::from_millis(3_700);
+/// Time after SIGTERM for which clients lose replies.
+const LOSSES_AFTER_STOP: Duration = Duration::from_millis(2_900);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A connection to the frontend; each call fails once it has ended.
@@ -82,7 +83,8 @@
 struct Soak {
     address: SocketAddr,
     jobs: Mutex<BTreeMap<String, JobRecord>>,
-    is_stopping: AtomicBool,
+    /// When the node was told to stop.
+    stopped_at: OnceLock<Instant>,
 }
 
 impl Soak {
@@ -91,7 +93,12 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.stopped_at.get().is_some()
+    }
+
+    /// Whether a client that loses a reply can still ask again before the node has to end.
+    fn may_lose_replies(&self) -> bool {
+        self.stopped_at.get().is_none_or(|at| at.elapsed() < LOSSES_AFTER_STOP)
     }
 
     /// Fetches jobs until the node has ended, with a new connection and name after each drawn loss.
@@ -158,6 +165,16 @@
         Ok(())
     }
 
+    /// Asks over a connection of its own that is lost before the reply is read, and waits before it connects again.
+    async fn lose_reply(&self, question: &str, rng: &mut SmallRng) -> io::Result<()> {
+        let mut session = Session::open(self.address, None).await?;
+        session.send(question).await?;
+        sleep(Duration::from_millis(rng.random_range(0..5))).await;
+        drop(session);
+        sleep(Duration::from_millis(rng.random_range(0..300))).await;
+        Ok(())
+    }
+
     async fn read_end(&self, session: &mut Session, jid: &str, rng: &mut SmallRng) -> io::Result<()> {
         let connects_anew = rng.random_bool(0.3);
         loop {
@@ -165,7 +182,12 @@
             if connects_anew {
                 *session = Session::open(self.address, None).await?;
             }
-            let reply = session.exchange(&format!("TRACK GET {jid}")).await?;
+            let question = format!("TRACK GET {jid}");
+            if rng.random_bool(0.3) && self.may_lose_replies() {
+                self.lose_reply(&question, rng).await?;
+                continue;
+            }
+            let reply = session.exchange(&question).await?;
             let state = serde_json::from_str::<Value>(&reply).unwrap_or_default();
             let Some(answer) = state["answer"].as_str() else { continue };
             self.update(jid, |job| job.ends.push((Instant::now(), answer.to_string())));
@@ -254,12 +276,12 @@
             std::env::temp_dir().join(format!("molevale-soak-faktory-{}-{seed}", std::process::id()));
         let address = free_address().await;
         let mut node = start_node(&folder, address, semantics).await;
-        let soak = Arc::new(Soak { address, jobs: Mutex::default(), is_stopping: AtomicBool::default() });
+        let soak = Arc::new(Soak { address, jobs: Mutex::default(), stopped_at: OnceLock::new() });
         let workers: Vec<_> = (0..WORKERS).map(|n| tokio::spawn(soak.clone().work(n, seed))).collect();
         let clients: Vec<_> =
             (0..CLIENTS).map(|n| tokio::spawn(soak.clone().push_jobs(n, "lodge", seed))).collect();
         sleep(LOAD_TIME).await;
-        soak.is_stopping.store(true, Ordering::Relaxed);
+        soak.stopped_at.get_or_init(Instant::now);
         let code = stop_node(&mut node, seed % 2 == 0).await;
         for client in clients {
             client.await.unwrap();
