Names: one list of class rules, one lookup of a request's tenant, a plain read of the phase

The effect of a class stood in two lists (idempotency and class_rules), the tenant that a request names was looked up in two places, and Faktory subscribed to the phase for each PUSH only to read it.

--- a/node/src/class_rules.rs
+++ b/node/src/class_rules.rs
@@ -98,6 +98,11 @@
         &self.name
     }
 
+    /// Whether its requests may be executed more than once.
+    pub fn idempotency(&self) -> Idempotency {
+        self.semantics.into()
+    }
+
     /// Settings of the class where the machine types have these names; `None` if the one that it requires has none here.
     pub fn to_settings(&self, kinds: &[String]) -> Option<ClassSettings> {
         let required_kind = match &self.required_kind {
@@ -110,7 +115,7 @@
             deadline_us: self.deadline_us,
             priority_weight: self.priority_weight,
             late_weight: self.late_weight,
-            idempotency: self.semantics.into(),
+            idempotency: self.idempotency(),
             deduplication_window_us: self.deduplication_window_us,
             required_kind,
         })
--- a/node/src/faktory/leases/submission.rs
+++ b/node/src/faktory/leases/submission.rs
@@ -192,7 +192,7 @@
     fn may_execute_again(&self, number: JobNumber) -> bool {
         let job = &self.jobs[&number];
         let Progress::Ended(answer, _) = &job.progress else { return false };
-        match self.names.idempotency[job.key.class] {
+        match self.names.idempotency(job.key.class) {
             Idempotency::Idempotent => true,
             Idempotency::WithKey(_) | Idempotency::NotIdempotent => {
                 matches!(answer, Answer::Shed(_)) && !job.may_have_executed
--- a/node/src/faktory/server.rs
+++ b/node/src/faktory/server.rs
@@ -97,7 +97,7 @@
 
     /// Whether new jobs are taken. None are once they would have to be answered before SIGKILL may come.
     pub fn intake(&self) -> Intake {
-        let is_closing = self.phases.subscribe().borrow().closes_connections();
+        let is_closing = self.phases.current().closes_connections();
         if is_closing || self.phases.answer_deadline(self.longest_deadline).is_some() {
             return Intake::Closed;
         }
--- a/node/src/names.rs
+++ b/node/src/names.rs
@@ -29,8 +29,6 @@
     pub retired_classes: Vec<usize>,
     /// For each class, the number of the class that had its name before a reload, if any.
     pub inherits_from: Vec<Option<usize>>,
-    /// For each class, whether its requests may be executed more than once.
-    pub idempotency: Vec<Idempotency>,
     /// For each class, its rules as other processes of the node know them.
     pub class_rules: Vec<ClassRules>,
     /// Names of the tenants.
@@ -60,6 +58,11 @@
         (0..self.classes.len()).find(|number| self.classes[*number] == name && is_offered(number))
     }
 
+    /// Whether requests of a class may be executed more than once.
+    pub fn idempotency(&self, class: usize) -> Idempotency {
+        self.class_rules[class].idempotency()
+    }
+
     /// Number of the class, offered or not, that has exactly these rules.
     pub fn class_with_rules(&self, rules: &ClassRules) -> Option<usize> {
         self.class_rules.iter().position(|other| other == rules)
@@ -78,6 +81,11 @@
         let is_current = |number: &usize| !self.retired_tenants.contains(number);
         (0..self.tenants.len()).find(|number| self.tenants[*number] == name && is_current(number))
     }
+
+    /// Number of the tenant that a request names. Without tenants in the settings, all requests have number 0.
+    pub fn request_tenant(&self, name: &str) -> Option<usize> {
+        self.tenant(name).or(self.tenants.is_empty().then_some(0))
+    }
 }
 
 /// Error in the settings.
@@ -127,7 +135,6 @@
         inherits_from: vec![None; classes.len()],
         classes,
         retired_classes: Vec::new(),
-        idempotency: settings.classes.iter().map(|class| class.idempotency).collect(),
         class_rules,
         tenants,
         retired_tenants: Vec::new(),
--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -66,6 +66,11 @@
 }
 
 impl Phases {
+    /// The current phase.
+    pub fn current(&self) -> Phase {
+        *self.current.borrow()
+    }
+
     /// Subscribes to the phase and its changes.
     pub fn subscribe(&self) -> watch::Receiver<Phase> {
         self.current.subscribe()
@@ -87,7 +92,7 @@
     /// Records that another process serves now, unless this one is closing. Returns the previous phase, for
     /// [`Phases::undo_hand_over`].
     pub fn hand_over(&self) -> Phase {
-        let before = *self.current.borrow();
+        let before = self.current();
         self.transition(|phase| (phase != Phase::Closing).then_some(Phase::HandedOver));
         before
     }
@@ -100,8 +105,7 @@
     /// Goes through the last phases; a second call has no effect. A process that has handed over closes at once.
     pub async fn stop(&self) {
         self.stopped_at.get_or_init(Instant::now);
-        let phase = *self.current.borrow();
-        match phase {
+        match self.current() {
             Phase::Stopping | Phase::Closing => return,
             Phase::HandedOver => {}
             Phase::Serving | Phase::Draining => {
@@ -148,6 +152,6 @@
             *phase = to;
             true
         });
-        *self.current.borrow()
+        self.current()
     }
 }
--- a/node/src/platform/fields.rs
+++ b/node/src/platform/fields.rs
@@ -74,19 +74,11 @@
         Ok(class)
     }
 
-    fn tenant(&self, names: &Names) -> Result<usize, FieldError> {
-        match names.tenant(self.text("x-tenant")) {
-            Some(tenant) => Ok(tenant),
-            None if names.tenants.is_empty() => Ok(0),
-            None => Err(FieldError::UnknownTenant),
-        }
-    }
-
     /// Numbers of the class and the tenant, if the request has what its class requires.
     fn numbers(&self, path: &str, names: &Names) -> Result<RequestNumbers, FieldError> {
         let class = self.class(path, names)?;
-        let tenant = self.tenant(names)?;
-        self.check_idempotency_key(names.idempotency[class])?;
+        let tenant = names.request_tenant(self.text("x-tenant")).ok_or(FieldError::UnknownTenant)?;
+        self.check_idempotency_key(names.idempotency(class))?;
         Ok(RequestNumbers { class, tenant })
     }
 
--- a/node/src/platform/job_handover.rs
+++ b/node/src/platform/job_handover.rs
@@ -292,11 +292,7 @@
     pub fn numbers(&self, names: &Names) -> Result<RequestNumbers, AdoptionError> {
         let rules = self.rules.as_ref().ok_or(AdoptionError::UnknownRules)?;
         let class = names.class_with_rules(&rules.class).ok_or(AdoptionError::DifferentRules)?;
-        let tenant = match names.tenant(&self.tenant) {
-            Some(tenant) => tenant,
-            None if names.tenants.is_empty() => 0,
-            None => return Err(AdoptionError::UnknownTenant),
-        };
+        let tenant = names.request_tenant(&self.tenant).ok_or(AdoptionError::UnknownTenant)?;
         Ok(RequestNumbers { class, tenant })
     }
 
--- a/node/src/settings_merge.rs
+++ b/node/src/settings_merge.rs
@@ -30,7 +30,6 @@
             },
             names: Names {
                 classes: old.classes.clone(),
-                idempotency: old.idempotency.clone(),
                 class_rules: old.class_rules.clone(),
                 inherits_from: old.inherits_from.clone(),
                 tenants: old.tenants.clone(),
@@ -95,7 +94,6 @@
         // Its requests are expected to run about as long as those of the class that had the name before.
         names.inherits_from.push(names.classes.iter().rposition(|other| other == name));
         names.classes.push(name.to_string());
-        names.idempotency.push(class.idempotency);
         names.class_rules.push(ClassRules::new(name, &class, &names.kinds));
         self.settings.classes.push(class);
         self.settings.classes.len() - 1
--- a/node/tests/golden/node/rendering.rs
+++ b/node/tests/golden/node/rendering.rs
@@ -6,6 +6,7 @@
 };
 use dispatch_policy::settings::ReportField;
 use membership::file::FleetFile;
+use molevale::class_rules::ClassRules;
 use molevale::names::Names;
 use std::fmt::{Debug, Write};
 
@@ -159,7 +160,6 @@
         classes,
         retired_classes,
         inherits_from,
-        idempotency,
         class_rules,
         tenants,
         retired_tenants,
@@ -171,8 +171,8 @@
         drain_grace,
         longest_deadline,
     } = names;
-    let is_keyed = |idempotency: &Idempotency| matches!(idempotency, Idempotency::WithKey(_));
-    let keyed: Vec<bool> = idempotency.iter().map(is_keyed).collect();
+    let is_keyed = |rules: &ClassRules| matches!(rules.idempotency(), Idempotency::WithKey(_));
+    let keyed: Vec<bool> = class_rules.iter().map(is_keyed).collect();
     let report: Vec<String> =
         report.iter().map(|(name, f)| format!("{name}: {}", report_field_key(*f))).collect();
     let sent: Vec<String> = class_rules.iter().map(|rules| serde_json::to_string(rules).unwrap()).collect();
--- a/node/tests/settings_merge.rs
+++ b/node/tests/settings_merge.rs
@@ -29,7 +29,6 @@
     };
     let names = Names {
         classes: classes.keys().map(u8::to_string).collect(),
-        idempotency: classes.values().map(|kind| kinds[usize::from(*kind)]).collect(),
         inherits_from: vec![None; classes.len()],
         zones: zones.map(String::from).to_vec(),
         ..Names::default()
@@ -63,7 +62,7 @@
                 let number = new.names.class(&name.to_string());
                 let kind = number.map(|n| (now[n].deadline_us - 1) as u8);
                 assert_eq!(kind, wanted.get(&name).copied());
-                assert!(number.is_none_or(|n| new.names.idempotency[n] == now[n].idempotency));
+                assert!(number.is_none_or(|n| new.names.idempotency(n) == now[n].idempotency));
                 assert!(number.is_none_or(|n| new.names.class_rules[n] == rules_of(&new)[n]));
             }
             assert!(now.len() <= 1 + 4 * 3, "a class that returns gets its number again");
@@ -126,7 +125,7 @@
     for process in [&second, &reloaded, &third] {
         let number = process.names.class_with_rules(&rules).expect("a class with these rules");
         assert_eq!(process.settings.classes[number], unsafe_class.settings.classes[1]);
-        assert_eq!(process.names.idempotency[number], Idempotency::NotIdempotent);
+        assert_eq!(process.names.idempotency(number), Idempotency::NotIdempotent);
         assert!(process.names.retired_classes.contains(&number));
         assert!(process.settings.retired_classes.contains(&number));
         assert_eq!(process.names.class("lodge"), Some(1), "the own class is offered");
