Faktory: an attempt that was not sent no longer makes a refusal final

Callers saw: a job was refused although no worker had got it, and further pushes of it were told the same refusal for as long as its record was kept (a minute or more). Rare: the worker's connection has to end between the assignment and the sending, in an attempt other than the first.

Cause: delivery_failed took any attempt with a number above 0 for one behind an execution; the attempts before it may have been rejected unsent.

The delivery now remembers whether an earlier attempt may have been executed. a_refused_job_whose_attempts_were_not_sent_is_submitted_again fails before (still refused) and passes now; its twin, in which an attempt was sent, passes before and after.

--- a/node/src/faktory/leases/assignment.rs
+++ b/node/src/faktory/leases/assignment.rs
@@ -19,6 +19,8 @@
     /// The attempt that is delivered.
     pub attempt: AttemptId,
     job: JobNumber,
+    /// Whether an earlier attempt may have been executed.
+    may_have_executed_before: bool,
 }
 
 /// Why an `ACK` or `FAIL` of a worker is rejected.
@@ -62,7 +64,12 @@
                 unassigned.push_back(number);
                 continue;
             };
-            let delivery = Delivery { payload: job.payload.clone(), attempt, job: number };
+            let delivery = Delivery {
+                payload: job.payload.clone(),
+                attempt,
+                job: number,
+                may_have_executed_before: job.may_have_executed,
+            };
             if fetch.sender.send(delivery).is_err() {
                 worker.offers.push_front(number);
                 continue;
@@ -96,7 +103,7 @@
     pub fn delivery_failed(&mut self, delivery: &Delivery, unsent: bool) {
         let Some(job) = self.jobs.get_mut(&delivery.job) else { return };
         if job.is_leased(delivery.attempt) {
-            job.may_have_executed &= !unsent || delivery.attempt.attempt > 0;
+            job.may_have_executed = !unsent || delivery.may_have_executed_before;
             self.end_attempt(delivery.job, if unsent { Outcome::Rejected } else { Outcome::ConnectionLost });
         }
     }
--- a/node/tests/faktory_leases.rs
+++ b/node/tests/faktory_leases.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use common::{faktory_job, settings};
 use dispatch_policy::api::{Outcome, WorkerId};
-use molevale::dispatcher::{queue, stable_hash, AttemptId};
-use molevale::faktory::leases::{ClassLimits, Intake, LeaseTable};
+use molevale::dispatcher::{queue, stable_hash, Answer, AttemptId};
+use molevale::faktory::leases::{ClassLimits, Intake, JobNumber, JobState, LeaseTable};
 use molevale::names::parse_settings;
 use std::time::Duration;
 
@@ -29,6 +29,13 @@
     leases.push(job, Bytes::from(text), Intake::Open).unwrap();
 }
 
+/// Pushes the first job of a table and has the dispatcher admit it. Returns its number.
+fn push_first_job(leases: &mut LeaseTable) -> JobNumber {
+    push_job(leases);
+    leases.job_admitted(1);
+    1
+}
+
 fn attempt(attempt: u32) -> AttemptId {
     AttemptId { request: 9, attempt }
 }
@@ -42,8 +49,8 @@
 #[tokio::test]
 async fn worker_that_lost_a_lease_is_not_offered_the_job_again() {
     let mut leases = lease_table();
-    push_job(&mut leases);
-    let (number, queues) = (1, ["lodge".to_string()]);
+    let number = push_first_job(&mut leases);
+    let queues = ["lodge".to_string()];
     leases.session_opened("one");
     let (_, mut first) = leases.fetch("one", &queues);
     assert!(!leases.offer(attempt(0), number, worker("one")), "a FETCH was waiting");
@@ -59,3 +66,40 @@
     leases.offer(attempt(2), number, worker("two"));
     assert_eq!(other.try_recv().unwrap().attempt, attempt(2));
 }
+
+/// Guards against a refusal that pushes can't get past: an attempt that surely was not sent, behind one that was rejected,
+/// counted as a possible execution.
+#[tokio::test]
+async fn a_refused_job_whose_attempts_were_not_sent_is_submitted_again() {
+    let mut leases = lease_table();
+    let number = push_first_job(&mut leases);
+    let queues = ["lodge".to_string()];
+    leases.session_opened("one");
+    assert!(leases.offer(attempt(0), number, worker("one")), "no FETCH was waiting");
+    leases.expire_offer(number, attempt(0));
+    leases.session_opened("two");
+    let (_, mut fetch) = leases.fetch("two", &queues);
+    leases.offer(attempt(1), number, worker("two"));
+    leases.delivery_failed(&fetch.try_recv().unwrap(), true);
+    leases.job_answered(number, Answer::Shed(Duration::from_secs(1)));
+    push_job(&mut leases);
+    assert_eq!(leases.job_state(JID), Some(JobState::Enqueued));
+}
+
+/// The same where an attempt before was sent: the job may have run.
+#[tokio::test]
+async fn a_refused_job_of_which_one_attempt_was_sent_is_not_submitted_again() {
+    let refusal = Answer::Shed(Duration::from_secs(1));
+    let mut leases = lease_table();
+    let number = push_first_job(&mut leases);
+    let queues = ["lodge".to_string()];
+    for (name, is_unsent) in [("one", false), ("two", true)] {
+        leases.session_opened(name);
+        let (_, mut fetch) = leases.fetch(name, &queues);
+        leases.offer(attempt(u32::from(is_unsent)), number, worker(name));
+        leases.delivery_failed(&fetch.try_recv().unwrap(), is_unsent);
+    }
+    leases.job_answered(number, refusal.clone());
+    push_job(&mut leases);
+    assert_eq!(leases.job_state(JID), Some(JobState::Ended(refusal)));
+}
