Handover: a stopped successor returns the listener before its last answer

Callers saw: a node that accepted nothing for up to 3 s: late or lost answers.

Cause: a process that had handed over took its listener back only at the end of the link, which is the end of its successor. A successor that is told to stop accepts for 0.72 s and then answers what it has; meanwhile nobody accepted, although the old process lived and was not stopped. As old as the handover.

The test fails before ('the condition never held: the predecessor accepts again') and passes now.

Change: the successor says `released` over the link once it accepts no more, behind a report of held resources, so never amid the offers; the old process serves again unless it was stopped, and watches the moved requests on. An earlier version ignores the word. Tests that call PredecessorLink::run pass its new argument, and are else as they were.

--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -21,6 +21,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -73,6 +74,8 @@
     pub phases: Phases,
     /// Current phase of the process.
     pub phase: watch::Receiver<Phase>,
+    /// Whether this process accepted connections until it was stopped, and accepts no more.
+    pub has_released_listener: AtomicBool,
 }
 
 impl Server {
@@ -89,6 +92,7 @@
             } else if current == Phase::Closing {
                 if owns_listener {
                     self.accept_backlog(&mut acceptor, &listener).await;
+                    self.has_released_listener.store(true, Ordering::Relaxed);
                 }
                 break;
             } else {
--- a/node/src/platform/startup.rs
+++ b/node/src/platform/startup.rs
@@ -24,7 +24,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -221,6 +221,7 @@
             budget: self.budget,
             phase: self.phases.subscribe(),
             phases: self.phases,
+            has_released_listener: AtomicBool::new(false),
         })
     }
 }
@@ -261,6 +262,7 @@
                 .run(
                     |held| server.budget.update_other_process_usage(held),
                     |record, sockets| server.adopt_request(record, sockets, &mut reserved_ids),
+                    || server.has_released_listener.load(Ordering::Relaxed),
                 )
                 .await;
             offers.has_predecessor.store(false, Ordering::Relaxed);
--- a/node/src/process_handover/link.rs
+++ b/node/src/process_handover/link.rs
@@ -40,6 +40,8 @@
     JobAccepted,
     /// The new process does not continue the request, which remains in the old one.
     JobRejected,
+    /// The new process is told to stop and has released the listener, although it still answers its open requests.
+    ListenerReleased,
 }
 
 impl Message {
@@ -52,6 +54,7 @@
             Message::ReadyForRules,
             Message::JobAccepted,
             Message::JobRejected,
+            Message::ListenerReleased,
         ];
         all.into_iter().find(|message| message.text() == line)
     }
@@ -64,6 +67,7 @@
             Message::ReadyForRules => "ready rules",
             Message::JobAccepted => "ok",
             Message::JobRejected => "no",
+            Message::ListenerReleased => "released",
         }
     }
 }
--- a/node/src/process_handover/predecessor.rs
+++ b/node/src/process_handover/predecessor.rs
@@ -75,7 +75,9 @@
         log::info!(event = "handover_taken_over", descriptors = held.descriptors, bodies_kib = held.bodies_kib;
             "took over from the predecessor, which still holds these resources");
         let ready_message = ready_message(&self.state);
-        (held, PredecessorLink { link: self.link, ready_message, is_report_pending })
+        let link =
+            PredecessorLink { link: self.link, ready_message, is_report_pending, is_release_sent: false };
+        (held, link)
     }
 }
 
@@ -86,19 +88,25 @@
     ready_message: Message,
     /// Whether the first report of held resources is still to come.
     is_report_pending: bool,
+    /// Whether the predecessor was told that this process has released the listener.
+    is_release_sent: bool,
 }
 
 impl PredecessorLink {
     /// Receives the running requests of the predecessor and passes those that this process has claimed to `adopt`,
     /// which returns whether it continues them; passes each report of held resources to `on_held_resources`, and an
-    /// empty one when the predecessor ends. Returns only then: the predecessor takes the end of the link for the end
-    /// of this process, so the link is kept open after any other error.
+    /// empty one when the predecessor ends. Tells the predecessor once `has_released_listener`. Returns only when the
+    /// predecessor ends: that one takes the end of the link for the end of this process, so the link is kept open after
+    /// any other error.
     pub async fn run(
         mut self,
         mut on_held_resources: impl FnMut(HeldResources),
         mut adopt: impl FnMut(&str, [OwnedFd; 2]) -> bool,
+        has_released_listener: impl Fn() -> bool,
     ) {
-        let error = match self.receive_messages(&mut on_held_resources, &mut adopt).await {
+        let received =
+            self.receive_messages(&mut on_held_resources, &mut adopt, &has_released_listener).await;
+        let error = match received {
             Ok(never) => match never {},
             Err(error) => error,
         };
@@ -115,6 +123,7 @@
         &mut self,
         on_held_resources: &mut impl FnMut(HeldResources),
         adopt: &mut impl FnMut(&str, [OwnedFd; 2]) -> bool,
+        has_released_listener: &impl Fn() -> bool,
     ) -> io::Result<std::convert::Infallible> {
         if self.is_report_pending {
             on_held_resources(serde_json::from_str(&self.link.read_line().await?)?);
@@ -125,6 +134,10 @@
             let json = self.link.read_line().await?;
             if descriptors.is_empty() {
                 on_held_resources(serde_json::from_str(&json)?);
+                // These reports follow the last offer, for whose reply the message could be taken.
+                if has_released_listener() {
+                    self.send_listener_released().await?;
+                }
                 continue;
             }
             let reply = match receive_offer(&json, descriptors, adopt) {
@@ -134,6 +147,15 @@
             self.link.send(reply).await?;
         }
     }
+
+    /// Tells the predecessor, once, that this process has released the listener.
+    async fn send_listener_released(&mut self) -> io::Result<()> {
+        if self.is_release_sent {
+            return Ok(());
+        }
+        self.is_release_sent = true;
+        self.link.send(Message::ListenerReleased).await
+    }
 }
 
 /// The message that asks a predecessor for its running requests. One of an earlier version knows only the shorter ones.
--- a/node/src/process_handover/successor.rs
+++ b/node/src/process_handover/successor.rs
@@ -106,13 +106,14 @@
     timeout(START_TIMEOUT, link.expect(Message::Serving)).await??;
     let phase_before = phases.hand_over();
     source.close_idle();
+    let resume = || phases.undo_hand_over(phase_before);
     let mut transfer = Transfer::default();
     let error = match transfer.run(&mut link, source).await {
-        Ok(()) => transfer.watch(&mut link, source).await,
+        Ok(()) => transfer.watch(&mut link, source, resume).await,
         Err(e) => e,
     };
     transfer.end(&error);
-    phases.undo_hand_over(phase_before);
+    resume();
     Err(error)
 }
 
@@ -148,7 +149,7 @@
                     "the new process is of an earlier version; running requests are answered here");
                 Ok(())
             }
-            Message::Serving | Message::JobAccepted | Message::JobRejected => {
+            Message::Serving | Message::JobAccepted | Message::JobRejected | Message::ListenerReleased => {
                 return Err(ErrorKind::InvalidData.into())
             }
         };
@@ -200,9 +201,11 @@
         let is_accepted = match reply? {
             Message::JobAccepted => true,
             Message::JobRejected => false,
-            Message::Serving | Message::Ready | Message::ReadyToClaim | Message::ReadyForRules => {
-                return Err(ErrorKind::InvalidData.into())
-            }
+            Message::Serving
+            | Message::Ready
+            | Message::ReadyToClaim
+            | Message::ReadyForRules
+            | Message::ListenerReleased => return Err(ErrorKind::InvalidData.into()),
         };
         request.reply_received(is_accepted);
         self.withdrawn += usize::from(is_withdrawn);
@@ -210,15 +213,27 @@
         Ok(())
     }
 
-    /// Reports the held resources at an interval, and watches the transferred requests until the link ends.
-    async fn watch(&mut self, link: &mut Link, source: &impl HandoverSource<Request = R>) -> io::Error {
+    /// Reports the held resources at an interval, and watches the transferred requests until the link ends. Calls
+    /// `on_listener_released` if the successor stops accepting before.
+    async fn watch(
+        &mut self,
+        link: &mut Link,
+        source: &impl HandoverSource<Request = R>,
+        on_listener_released: impl Fn(),
+    ) -> io::Error {
         loop {
             self.transferred.retain(|request| request.check_answer().is_undecided());
             if let Err(e) = link.send_held_resources(&source.held_resources()).await {
                 return e;
             }
-            if let Ok(Err(e)) = timeout(REPORT_INTERVAL, link.read_line()).await {
-                return e;
+            match timeout(REPORT_INTERVAL, link.read_line()).await {
+                Ok(Ok(line)) if Message::parse(&line) == Some(Message::ListenerReleased) => {
+                    log::info!(event = "listener_returned";
+                        "the new process stops and accepts no more; this process accepts again unless it was stopped");
+                    on_listener_released();
+                }
+                Ok(Err(e)) => return e,
+                Ok(Ok(_)) | Err(_) => {}
             }
         }
     }
--- a/node/tests/client_disconnects.rs
+++ b/node/tests/client_disconnects.rs
@@ -312,7 +312,7 @@
             offer.send(()).unwrap();
             false
         };
-        let successor = tokio::spawn(predecessor_link.run(|_| {}, adopt));
+        let successor = tokio::spawn(predecessor_link.run(|_| {}, adopt, || false));
         offered.recv().await.unwrap();
         assert!(is_dropped(&old, 1).await, "{departure:?}");
         assert!(received.next_request().await.is_none(), "cancelled");
--- a/node/tests/client_disconnects_in_handover.rs
+++ b/node/tests/client_disconnects_in_handover.rs
@@ -108,7 +108,7 @@
         let runtime = tokio::runtime::Handle::current();
         // On a thread of its own, so that it can hold back its decision while the clock advances here.
         let successor = std::thread::spawn(move || {
-            let run = predecessor_link.run(|_| {}, adopt);
+            let run = predecessor_link.run(|_| {}, adopt, || false);
             let _ = runtime.block_on(async { tokio::time::timeout(Duration::from_secs(60), run).await });
         });
         offered.recv().await.unwrap();
--- a/node/tests/process_handover.rs
+++ b/node/tests/process_handover.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::handover_link::HandoverLink;
-use common::{request, Client, PlatformNode, Worker};
+use common::{advance_until, request, stop_until_closing, Client, PlatformNode, Worker};
 use molevale::phase::Phase;
 use molevale::platform::listen;
 use molevale::process_handover::{Predecessor, PredecessorLookup};
@@ -14,6 +14,8 @@
 use tokio::task::yield_now;
 use tokio::time::{advance, Duration};
 
+/// Step in which a test advances the clock while it waits.
+const STEP: Duration = Duration::from_millis(5);
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
 fn handover_path(name: &str) -> PathBuf {
@@ -116,6 +118,39 @@
     std::fs::remove_file(path).unwrap();
 }
 
+/// Guards against a node that is deaf while a new version is stopped again: the old process, which was not stopped, got the
+/// listener back only when the new one had answered its last request, up to 3 s later.
+#[tokio::test(start_paused = true)]
+async fn the_predecessor_accepts_again_while_a_stopped_successor_still_answers() {
+    let path = handover_path("returned");
+    let (worker, predecessor) = start_predecessor(&path).await;
+    let mut client = Client::connect(&predecessor).await;
+    client.send_after_pause(&request("lodge", "9b1f03aa5c7e2d41", 60.0, "")).await;
+    let mut transferred = worker.receive_request().await;
+    transferred.begin_response().await;
+    while predecessor.counters.acknowledged.get() < 1 {
+        yield_now().await;
+    }
+    let link = look_up(&path).await.expect("the predecessor answers");
+    let successor = PlatformNode::start_with_handover(Some(path.clone()), vec![], 256, 32, Some(link)).await;
+    let mut phase = predecessor.phases.subscribe();
+    phase.wait_for(|p| *p == Phase::HandedOver).await.unwrap();
+    advance_until("the job is transferred", STEP, || successor.counters.transferred_in.get() == 1).await;
+    stop_until_closing(&successor.phases).await;
+    let mut late = Client::connect(&predecessor).await;
+    late.send_after_pause(&request("check", "9b1f03aa5c7e2d42", 60.0, "")).await;
+    advance_until("the predecessor accepts again", STEP, || predecessor.phases.current() == Phase::Serving)
+        .await;
+    assert!(!successor.task.is_finished(), "the successor still has a request");
+    worker.receive_request().await.complete("late").await;
+    assert_eq!(late.read_answer().await.unwrap().body, "late");
+    transferred.send_update(json!({"state": "done", "result": "a"})).await;
+    assert_eq!(client.read_answer().await.unwrap().body, "a", "the successor keeps what it has taken over");
+    assert_eq!(successor.task.await.unwrap(), Ok(()));
+    assert_eq!(Client::connect(&predecessor).await.exchange(UP).await.status, 200);
+    std::fs::remove_file(path).unwrap();
+}
+
 /// A running job that the successor does not adopt is completed by the predecessor.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_is_not_adopted_is_answered_by_the_predecessor() {
@@ -135,7 +170,7 @@
         offers.send(text.to_string()).unwrap();
         false
     };
-    let task = tokio::spawn(remaining.run(|_| {}, adopt));
+    let task = tokio::spawn(remaining.run(|_| {}, adopt, || false));
     assert!(received_offers.recv().await.unwrap().contains("9b1f03aa5c7e2d41"));
     received.send_update(json!({"state": "done", "result": "r"})).await;
     let answer = client.read_answer().await.unwrap();
--- a/node/tests/transfer_ownership.rs
+++ b/node/tests/transfer_ownership.rs
@@ -48,7 +48,7 @@
             let runtime = tokio::runtime::Handle::current();
             // On a thread of its own, so that it can hold back its reply while the clock advances here.
             let successor = std::thread::spawn(move || {
-                let run = link.run(|_| {}, adopt);
+                let run = link.run(|_| {}, adopt, || false);
                 let _ = runtime.block_on(async { tokio::time::timeout(Duration::from_secs(60), run).await });
             });
             offered.recv().await.unwrap();
