Start: a process that finds the address in use looks for a predecessor again

Operators saw: of two processes of a node that started at the same time (a restart by the supervisor and an upgrade) the second one ended with 'Address already in use', code 2.

Cause: a process binds the address some milliseconds before it offers its handover. One that looks in between finds nobody, and then cannot bind.

An address that stays in use ends the start with code 2 as before, 1 s later; this has a test now.

--- a/node/src/startup.rs
+++ b/node/src/startup.rs
@@ -12,17 +12,22 @@
 use crate::signals::{Command, Signals};
 use crate::transient::retry_local_failures;
 use crate::{coordination, faktory, logger, membership, platform};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
+use tokio::time::{sleep, Instant};
 
 /// Time for which a start is retried while the machine has no free descriptor or buffer.
 pub(crate) const START_RETRY_LIMIT: Duration = Duration::from_secs(4);
+/// Time for which a start looks for a predecessor again while the address for clients is in use.
+const ADDRESS_IN_USE_LIMIT: Duration = Duration::from_secs(1);
+/// Pause between these look-ups.
+const LOOK_UP_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Error that prevents the start of a node, or ends it.
 #[derive(Debug, thiserror::Error)]
@@ -261,19 +266,10 @@
     ) -> Result<(), Error> {
         let address = config.listen;
         let handover_path = process_handover::socket_path(address);
-        let lookup = match &handover_path {
-            Some(path) => Predecessor::look_up(path).await,
-            None => PredecessorLookup::Absent,
-        };
-        // Another successor may be taking over already; this process would replace its handover socket.
-        if self.phases.is_stop_requested() {
+        let Some((listener, predecessor)) = self.obtain_listener(address, handover_path.as_deref()).await?
+        else {
             log::info!(event = "stopped_before_serving"; "stop requested before this process served; nothing taken over");
             return Ok(());
-        }
-        let (listener, predecessor) = match lookup {
-            PredecessorLookup::Serving(listener, predecessor) => (listener, Some(predecessor)),
-            PredecessorLookup::Unresponsive => (bind_clients(address, true).await?, None),
-            PredecessorLookup::Absent => (bind_clients(address, false).await?, None),
         };
         let dependencies = platform::Dependencies {
             counters: self.counters.platform.clone(),
@@ -289,6 +285,45 @@
         Ok(platform::serve(config, listener, dependencies).await?)
     }
 
+    /// Obtains the listener for clients from a predecessor, if there is one, or binds the address. `None` if the process is
+    /// told to stop meanwhile: another successor may be taking over already, whose handover socket this one would replace.
+    async fn obtain_listener(
+        &self,
+        address: SocketAddr,
+        handover_path: Option<&Path>,
+    ) -> Result<Option<(TcpListener, Option<Predecessor>)>, Error> {
+        let started = Instant::now();
+        loop {
+            let lookup = match handover_path {
+                Some(path) => Predecessor::look_up(path).await,
+                None => PredecessorLookup::Absent,
+            };
+            if self.phases.is_stop_requested() {
+                return Ok(None);
+            }
+            let bound = match lookup {
+                PredecessorLookup::Serving(listener, predecessor) => {
+                    return Ok(Some((listener, Some(predecessor))))
+                }
+                PredecessorLookup::Unresponsive => bind_clients(address, true).await,
+                PredecessorLookup::Absent => bind_clients(address, false).await,
+            };
+            match bound {
+                Ok(listener) => return Ok(Some((listener, None))),
+                // A process of this node that started at the same time may have bound it, and offer its handover soon.
+                Err(Error::BindClients { source, .. })
+                    if handover_path.is_some()
+                        && source.kind() == ErrorKind::AddrInUse
+                        && started.elapsed() < ADDRESS_IN_USE_LIMIT =>
+                {
+                    log::debug!(event = "address_in_use"; "address in use; looking for a predecessor again");
+                    sleep(LOOK_UP_INTERVAL).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
     /// Logs the counters, releases the node's leases and leaves the fleet.
     async fn shut_down(&self) {
         self.counters.log();
--- a/node/tests/handover_processes.rs
+++ b/node/tests/handover_processes.rs
@@ -15,6 +15,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which a new process has connected to its predecessor.
 const LOOK_UP_TIME: Duration = Duration::from_millis(300);
+/// Processes of a node that are started at the same time.
+const SIMULTANEOUS_STARTS: usize = 4;
 
 /// A free address.
 async fn free_address() -> String {
@@ -112,3 +114,44 @@
     drop((old, first, second));
     std::fs::remove_dir_all(node.folder).unwrap();
 }
+
+/// Guards against a start that fails although a process of the node serves: two processes that started at the same time
+/// both found no predecessor, and the second one ended with 'Address already in use'.
+#[tokio::test]
+async fn a_process_that_starts_beside_another_takes_over_from_it() {
+    let node = Node::new("beside").await;
+    let mut processes = Vec::new();
+    for _ in 0..SIMULTANEOUS_STARTS {
+        processes.push(node.start_process().await);
+    }
+    for process in &mut processes {
+        assert!(becomes_ready(process).await, "{}", std::fs::read_to_string(&process.log).unwrap());
+    }
+    drop(processes);
+    std::fs::remove_dir_all(node.folder).unwrap();
+}
+
+/// An address that another program keeps ends the start with code 2 ...
+#[tokio::test]
+async fn an_address_that_stays_in_use_ends_the_start() {
+    let node = Node::new("in-use").await;
+    let _other_program = TcpListener::bind(&node.listen).await.unwrap();
+    let mut process = node.start_process().await;
+    assert_eq!(exit_code(&mut process).await, Some(2));
+    let log = std::fs::read_to_string(&process.log).unwrap();
+    assert!(log.contains("cannot listen on") && log.contains("in use"), "{log}");
+    std::fs::remove_dir_all(node.folder).unwrap();
+}
+
+/// ... but not one that is free after a moment.
+#[tokio::test]
+async fn an_address_that_is_free_after_a_moment_does_not_end_the_start() {
+    let node = Node::new("in-use-shortly").await;
+    let other_program = TcpListener::bind(&node.listen).await.unwrap();
+    let mut process = node.start_process().await;
+    sleep(LOOK_UP_TIME).await;
+    drop(other_program);
+    assert!(becomes_ready(&mut process).await, "{}", std::fs::read_to_string(&process.log).unwrap());
+    drop(process);
+    std::fs::remove_dir_all(node.folder).unwrap();
+}
