--- a/testbed/src/soak/driver/execution.rs
+++ b/testbed/src/soak/driver/execution.rs
@@ -8,7 +8,7 @@
 use super::super::shim::Fault;
 use super::super::worker::WorkerMode;
 use super::processes::{drain_clients, KILL_AFTER};
-use super::Driver;
+use super::{Driver, POLL_INTERVAL};
 use rustix::process::Signal;
 use std::io;
 use std::sync::atomic::Ordering;
@@ -56,12 +56,22 @@
         let actions = std::mem::take(&mut self.pending_actions).into_iter();
         let (due, later): (Vec<_>, Vec<_>) = actions.partition(|(at, _)| *at <= now);
         self.pending_actions = later;
-        for (_, action) in due {
+        for (due_at, action) in due {
+            if let Action::Resume { .. } = action {
+                self.record_late_resume(due_at);
+            }
             self.execute(action, now)?;
         }
         Ok(())
     }
 
+    /// Counts it as lag of the stand-ins if a process is stopped for longer than the schedule says, as the driver is late.
+    fn record_late_resume(&self, due_at: Time) {
+        let late = self.recorder.now().saturating_sub(due_at + POLL_INTERVAL);
+        let mut history = self.recorder.history();
+        history.stand_in_lag = history.stand_in_lag.max(late);
+    }
+
     /// Schedules an action.
     pub(super) fn schedule(&mut self, at: Time, action: Action) {
         self.pending_actions.push((at, action));
--- a/testbed/src/soak/worker.rs
+++ b/testbed/src/soak/worker.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rustix::net::listen;
 use serde_json::json;
+use std::future::ready;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,7 +18,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Semaphore};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::{unconstrained, JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
 /// Number of requests that may wait at a worker; more are rejected.
@@ -134,6 +135,8 @@
 ) {
     let mut connections = JoinSet::new();
     let mut resumed: Option<Instant> = None;
+    // Whether connections that waited while it did not accept may still be in the backlog.
+    let mut drains_backlog = false;
     let late_time = if short_backlog { RETRANSMISSION_TIME } else { BACKLOG_DRAIN_TIME };
     loop {
         if *mode.borrow() == WorkerMode::NotAccepting {
@@ -143,16 +146,22 @@
             let _ = listen(&listener, backlog); // fails never for a socket that listens
             drop(mode.wait_for(|mode| *mode != WorkerMode::NotAccepting).await);
             let _ = listen(&listener, BACKLOG);
-            resumed = Some(Instant::now());
+            (resumed, drains_backlog) = (Some(Instant::now()), true);
         }
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
+            // Unconstrained: pending means an empty backlog, and not that the task has to yield.
+            accepted = unconstrained(listener.accept()) => accepted,
+            () = ready(()), if drains_backlog => {
+                drains_backlog = false;
+                continue;
+            }
             _ = mode.wait_for(|mode| *mode == WorkerMode::NotAccepting) => continue,
         };
         let Ok((socket, _)) = accepted else { continue };
         let _ = socket.set_nodelay(true);
         // Requests on connections that waited in the backlog are read late.
-        let late_read = resumed.is_some_and(|at| at.elapsed() < late_time);
+        let late_read = drains_backlog || resumed.is_some_and(|at| at.elapsed() < late_time);
         connections.spawn(serve(socket, shared.clone(), mode.clone(), late_read));
         while connections.try_join_next().is_some() {}
     }
