Dispatcher: what an attempt reports is state of the attempt, and no row of events

Callers saw: one worker whose answer never ends (sound progress lines without a pause) took a node over its memory limit within 0.6 s; other requests were refused, and the request itself was answered 2 to 4 s after its deadline.

Cause: each line became an event in the dispatcher's queue, which has no limit. An attempt passes on a whole chunk of lines each time it runs, the dispatcher yielded after 128 events, so the queue grew as fast as the worker sent, with the attempt's end behind it.

Change: acknowledgement, start and newest progress of an attempt are kept as its state, with at most one event in the queue; the dispatcher empties the queue each time it runs; the lines of one response are read at 256 KiB a second after a burst; the memory plan has a line for the queue. Why this works: the length of the queue no longer depends on how much anybody sends, only on how many attempts, requests and sessions there are.

--- a/node/src/dispatcher/mod.rs
+++ b/node/src/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 //! attempt after another ([`Frontend::send`], [`Handle::ended`]), and answered once ([`Frontend::answer`]).
 
 mod actions;
+mod attempt_updates;
 mod clock;
 mod frontend;
 mod queue;
@@ -24,6 +25,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use timers::{Timer, Timers};
+use tokio::task::unconstrained;
 
 /// Hash of a name, such as a worker's, that is the same at every node.
 pub fn stable_hash(name: &str) -> u64 {
@@ -71,8 +73,13 @@
         })
     }
 
-    /// Runs until every handle is dropped.
-    pub async fn run(mut self, mut inbox: Inbox<F::Job>) {
+    /// Runs until every handle is dropped. Handles all events that are in the queue each time it runs: a task that yields
+    /// after a fixed number of events would fall behind the tasks that send them.
+    pub async fn run(self, inbox: Inbox<F::Job>) {
+        unconstrained(self.handle_events(inbox)).await;
+    }
+
+    async fn handle_events(mut self, mut inbox: Inbox<F::Job>) {
         loop {
             // Before each event, so that a full queue cannot starve the timers.
             self.fire_due_timers();
@@ -102,27 +109,7 @@
             DispatcherEvent::Submitted(request, job, at) => self.submit(request, job, at),
             DispatcherEvent::Adopted(request, job, sent) => self.adopt(request, job, sent),
             DispatcherEvent::ClientLeft(id) => self.client_left(id),
-            DispatcherEvent::Acknowledged(attempt_id) if self.requests.is_in_flight(attempt_id) => {
-                self.counters.acknowledged.add();
-                self.notify_policy(Event::Acknowledged {
-                    id: attempt_id.request,
-                    attempt: attempt_id.attempt,
-                });
-            }
-            DispatcherEvent::Started(attempt_id) if self.requests.is_in_flight(attempt_id) => {
-                self.attempt_started(attempt_id)
-            }
-            DispatcherEvent::Progress(attempt_id, done) if self.requests.is_in_flight(attempt_id) => {
-                self.notify_policy(Event::Progress {
-                    id: attempt_id.request,
-                    attempt: attempt_id.attempt,
-                    done,
-                });
-            }
-            // The attempt has ended already.
-            DispatcherEvent::Acknowledged(_)
-            | DispatcherEvent::Started(_)
-            | DispatcherEvent::Progress(..) => {}
+            DispatcherEvent::Updated(attempt_id, updates) => self.attempt_updated(attempt_id, updates),
             DispatcherEvent::Ended(end) => self.attempt_ended(end),
             DispatcherEvent::Endpoints { entries, full } => {
                 let event = if full { Event::EndpointList(entries) } else { Event::EndpointChanges(entries) };
--- a/node/src/dispatcher/queue.rs
+++ b/node/src/dispatcher/queue.rs
@@ -1,5 +1,6 @@
 //! Event queue of a dispatcher, and the handle with which frontends send events to it.
 
+use super::attempt_updates::{AttemptUpdates, UnreadUpdates};
 use super::{AttemptId, AttemptStart};
 use bytes::Bytes;
 use dispatch_policy::api::{Endpoint, LoadReport, Outcome, Request, RequestId, Settings, WorkerId};
@@ -26,9 +27,8 @@
     Submitted(Request, J, Instant),
     Adopted(Request, J, AttemptStart),
     ClientLeft(RequestId),
-    Acknowledged(AttemptId),
-    Started(AttemptId),
-    Progress(AttemptId, f64),
+    /// Reports of a worker about an attempt.
+    Updated(AttemptId, AttemptUpdates),
     Ended(AttemptReport),
     /// Changed endpoints, or all of them if `full`.
     Endpoints {
@@ -50,16 +50,39 @@
     Transferred(AttemptId),
 }
 
-/// Sends events to a dispatcher. The queue itself is unbounded; its length is bounded by the connections that a
-/// frontend accepts.
+/// Item of the queue.
+enum QueuedEvent<J> {
+    Event(DispatcherEvent<J>),
+    /// There are unread reports about this attempt.
+    UnreadUpdates(AttemptId),
+}
+
+/// Sends events to a dispatcher. The queue has no limit of its own, and a sender never waits. It stays short because the
+/// dispatcher empties it each time it runs, and because of what holds back each sender:
+///
+/// | event | caused by | at most |
+/// | --- | --- | --- |
+/// | `submit`, `client_left` | clients | one each for an open request; clients hold connection slots |
+/// | `adopt`, `transferable`, `freeze_for_transfer`, `transferred` | the other process of an upgrade | one request at a time |
+/// | `acknowledged`, `started`, `progress` | workers | one event for a running attempt, however much its worker sends |
+/// | `ended` | workers, the dispatcher | one for an attempt |
+/// | `update_endpoints`, `endpoint_list_failed` | discovery; Faktory workers | one for a response; one for a session's start, drain and end |
+/// | `update_settings` | operators, membership | one for a change |
+/// | `peer_rates` | other nodes | the rate at which datagrams are read |
+/// | `probe_ended` | workers | one for a probe, which the dispatcher requests |
 pub struct Handle<J> {
-    queue: UnboundedSender<DispatcherEvent<J>>,
+    queue: UnboundedSender<QueuedEvent<J>>,
+    unread_updates: UnreadUpdates,
     next_request_id: Arc<AtomicU64>,
 }
 
 impl<J> Clone for Handle<J> {
     fn clone(&self) -> Self {
-        Handle { queue: self.queue.clone(), next_request_id: self.next_request_id.clone() }
+        Handle {
+            queue: self.queue.clone(),
+            unread_updates: self.unread_updates.clone(),
+            next_request_id: self.next_request_id.clone(),
+        }
     }
 }
 
@@ -110,17 +133,17 @@
 
     /// Reports that the worker has acknowledged the attempt, and may start it later.
     pub fn acknowledged(&self, attempt_id: AttemptId) {
-        self.push(DispatcherEvent::Acknowledged(attempt_id));
+        self.update(attempt_id, |updates| updates.is_acknowledged = true);
     }
 
     /// Reports that the worker has started the execution.
     pub fn started(&self, attempt_id: AttemptId) {
-        self.push(DispatcherEvent::Started(attempt_id));
+        self.update(attempt_id, |updates| updates.is_started = true);
     }
 
-    /// Reports the completed part of the execution, from 0 to 1.
+    /// Reports the completed part of the execution, from 0 to 1. Replaces an earlier report that the dispatcher has not read.
     pub fn progress(&self, attempt_id: AttemptId, done: f64) {
-        self.push(DispatcherEvent::Progress(attempt_id, done));
+        self.update(attempt_id, |updates| updates.progress = Some(done));
     }
 
     /// Reports that an attempt has ended, with `Success` and this result or with another outcome.
@@ -173,7 +196,17 @@
         self.push(DispatcherEvent::ProbeEnded(worker, responded, report));
     }
 
+    fn update(&self, attempt_id: AttemptId, report: impl FnOnce(&mut AttemptUpdates)) {
+        if self.unread_updates.add(attempt_id, report) {
+            self.enqueue(QueuedEvent::UnreadUpdates(attempt_id));
+        }
+    }
+
     fn push(&self, event: DispatcherEvent<J>) {
+        self.enqueue(QueuedEvent::Event(event));
+    }
+
+    fn enqueue(&self, event: QueuedEvent<J>) {
         // Fails only after the dispatcher has ended, at the end of the process or of a test; the event is
         // irrelevant then.
         let _ = self.queue.send(event);
@@ -181,17 +214,44 @@
 }
 
 /// Receiving end of the queue, for [`Dispatcher::run`](super::Dispatcher::run).
-pub struct Inbox<J>(UnboundedReceiver<DispatcherEvent<J>>);
+pub struct Inbox<J> {
+    queue: UnboundedReceiver<QueuedEvent<J>>,
+    unread_updates: UnreadUpdates,
+}
 
 impl<J> Inbox<J> {
+    /// Most memory of an event in the queue, in bytes.
+    pub const EVENT_BYTES: usize = size_of::<QueuedEvent<J>>();
+
+    /// Number of events in the queue.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether the queue is empty.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
     /// The next event; `None` once every handle is dropped.
     pub(super) async fn next(&mut self) -> Option<DispatcherEvent<J>> {
-        self.0.recv().await
+        Some(match self.queue.recv().await? {
+            QueuedEvent::Event(event) => event,
+            QueuedEvent::UnreadUpdates(attempt_id) => {
+                DispatcherEvent::Updated(attempt_id, self.unread_updates.take(attempt_id))
+            }
+        })
     }
 }
 
 /// Creates the event queue of a dispatcher.
 pub fn queue<J>() -> (Handle<J>, Inbox<J>) {
     let (sender, receiver) = unbounded_channel();
-    (Handle { queue: sender, next_request_id: Arc::new(AtomicU64::new(1)) }, Inbox(receiver))
+    let unread_updates = UnreadUpdates::default();
+    let handle = Handle {
+        queue: sender,
+        unread_updates: unread_updates.clone(),
+        next_request_id: Arc::new(AtomicU64::new(1)),
+    };
+    (handle, Inbox { queue: receiver, unread_updates })
 }
--- a/node/src/dispatcher/requests.rs
+++ b/node/src/dispatcher/requests.rs
@@ -1,6 +1,7 @@
 //! Events of a request: submission, end of an attempt, deadline, departure of the client, and transfer to another
 //! process.
 
+use super::attempt_updates::AttemptUpdates;
 use super::queue::AttemptReport;
 use super::request_table::{AttemptState, RequestEntry, RetryRules};
 use super::{Answer, AttemptId, AttemptStart, Dispatcher, Frontend};
@@ -84,8 +85,26 @@
         self.remove_if_finished(id);
     }
 
+    /// Handles the reports of a worker about an attempt; no effect after the attempt's end.
+    pub(super) fn attempt_updated(&mut self, attempt_id: AttemptId, updates: AttemptUpdates) {
+        if !self.requests.is_in_flight(attempt_id) {
+            return;
+        }
+        let AttemptId { request: id, attempt } = attempt_id;
+        if updates.is_acknowledged {
+            self.counters.acknowledged.add();
+            self.notify_policy(Event::Acknowledged { id, attempt });
+        }
+        if updates.is_started {
+            self.attempt_started(attempt_id);
+        }
+        if let Some(done) = updates.progress {
+            self.notify_policy(Event::Progress { id, attempt, done });
+        }
+    }
+
     /// Handles the start of the execution at the worker.
-    pub(super) fn attempt_started(&mut self, attempt_id: AttemptId) {
+    fn attempt_started(&mut self, attempt_id: AttemptId) {
         if let Some(last) = self.requests.get_mut(attempt_id.request).and_then(|e| e.last_attempt.as_mut()) {
             last.started_at = last.started_at.or(Some(Instant::now()));
         }
--- a/node/src/faktory/server.rs
+++ b/node/src/faktory/server.rs
@@ -3,13 +3,13 @@
 
 use super::authentication::Challenge;
 use super::config::FaktoryConfig;
-use super::leases::{ClassLimits, Intake, LeaseTable, SessionNumber, TableLimits, OFFER_TIMEOUT};
+use super::leases::{ClassLimits, Intake, JobNumber, LeaseTable, SessionNumber, TableLimits, OFFER_TIMEOUT};
 use super::session;
 use super::transport::FaktoryTransport;
 use crate::acceptor::Acceptor;
 use crate::counters::Counters;
-use crate::dispatcher::{queue, Dispatcher};
-use crate::memory::MemoryPlan;
+use crate::dispatcher::{queue, Dispatcher, Inbox};
+use crate::memory::{MemoryPlan, QUEUED_EVENT_BYTES};
 use crate::names::{self, parse_settings};
 use crate::phase::{Phase, Phases};
 use crate::platform::socket::Socket;
@@ -35,6 +35,9 @@
 /// Interval at which the server checks whether the dispatcher still runs.
 const DISPATCHER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+const _: () =
+    assert!(Inbox::<JobNumber>::EVENT_BYTES <= QUEUED_EVENT_BYTES, "the memory plan counts too little");
+
 /// Error that ends the frontend or prevents its start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
--- a/node/src/memory/mod.rs
+++ b/node/src/memory/mod.rs
@@ -4,5 +4,5 @@
 mod plan;
 mod pressure;
 
-pub use plan::{Frontends, MemoryPlan, CONNECTION_BYTES, LARGE_ANSWER_BYTES};
+pub use plan::{Frontends, MemoryPlan, CONNECTION_BYTES, LARGE_ANSWER_BYTES, QUEUED_EVENT_BYTES};
 pub use pressure::{HeapGauge, MemoryPressure};
--- a/node/src/memory/plan.rs
+++ b/node/src/memory/plan.rs
@@ -20,11 +20,18 @@
 pub const LARGE_ANSWER_BYTES: usize = 128 * KIB;
 /// Most memory of a connection of the Faktory frontend: a line of 64 KiB in a buffer that doubles.
 const FAKTORY_CONNECTION_BYTES: usize = 128 * KIB;
-/// Most memory of a job's id in the Faktory frontend, apart from the payload: five copies of an id of 256 bytes, and the
-/// entries of the tables.
+/// Most memory of a job's id in the Faktory frontend, apart from the payload: five copies of an id of 256 bytes, the
+/// entries of the tables, and the end of the job's attempt in the dispatcher's queue.
 const FAKTORY_ID_BYTES: usize = 2 * KIB;
 /// Most memory of the id of an ended request: a digest and a time in a queue and a set, whose capacities double.
 const RECENT_ID_BYTES: usize = 128;
+/// Most memory of an event in the queue of a dispatcher.
+pub const QUEUED_EVENT_BYTES: usize = 640;
+/// Events of one connection that can be in the queue: a request, the departure of its client, the unread updates of its
+/// attempt, and the attempt's end.
+const QUEUED_EVENTS_OF_CONNECTION: usize = 4;
+/// Most memory of a connection's events in the queue.
+const QUEUED_BYTES_OF_CONNECTION: usize = QUEUED_EVENTS_OF_CONNECTION * QUEUED_EVENT_BYTES;
 /// Memory of an endpoint list in use, as a multiple of the response that it came in: the response, the parsed list, the
 /// latest list and the tables of workers.
 const LIST_EXPANSION: usize = 4;
@@ -72,6 +79,8 @@
     pub limit_bytes: usize,
     /// Largest number of connections to clients and workers, of both processes together.
     pub connections: usize,
+    /// Events of these connections in the dispatchers' queues, in bytes, of both processes together.
+    pub queued_bytes: usize,
     /// Request bodies of both processes together, in bytes.
     pub bodies_bytes: usize,
     /// Large answers of workers, in bytes, of each process.
@@ -82,6 +91,8 @@
     pub recent_ids: usize,
     /// Largest number of connections of the Faktory frontend.
     pub faktory_connections: usize,
+    /// Events of these connections in the dispatcher's queue, in bytes.
+    pub faktory_queued_bytes: usize,
     /// Payloads of open jobs of the Faktory frontend, in bytes.
     pub faktory_payload_bytes: usize,
     /// Largest number of ids of jobs of the Faktory frontend.
@@ -101,17 +112,22 @@
         };
         let of_platform = |percent: usize| platform / 100 * percent;
         let of_faktory = |percent: usize| faktory / 100 * percent;
+        let connections = (of_platform(CONNECTIONS_PERCENT) / CONNECTION_BYTES).max(CONNECTIONS_MIN);
+        let faktory_connection_bytes = FAKTORY_CONNECTION_BYTES + QUEUED_BYTES_OF_CONNECTION;
+        let faktory_connections =
+            (of_faktory(FAKTORY_CONNECTIONS_PERCENT) / faktory_connection_bytes).max(CONNECTIONS_MIN);
         MemoryPlan {
             frontends,
             limit_bytes,
-            connections: (of_platform(CONNECTIONS_PERCENT) / CONNECTION_BYTES).max(CONNECTIONS_MIN),
+            connections,
+            queued_bytes: connections * QUEUED_BYTES_OF_CONNECTION,
             bodies_bytes: of_platform(BODIES_PERCENT).max(BODIES_BYTES_MIN),
             answers_bytes: of_platform(ANSWERS_PERCENT_OF_EACH).max(ANSWERS_BYTES_MIN),
             list_response_bytes: (of_platform(LISTS_PERCENT_OF_EACH) / LIST_EXPANSION)
                 .clamp(LIST_RESPONSE_BYTES_MIN, LIST_RESPONSE_BYTES_MAX),
             recent_ids: (of_platform(RECENT_IDS_PERCENT_OF_EACH) / RECENT_ID_BYTES).max(RECENT_IDS_MIN),
-            faktory_connections: (of_faktory(FAKTORY_CONNECTIONS_PERCENT) / FAKTORY_CONNECTION_BYTES)
-                .max(CONNECTIONS_MIN),
+            faktory_connections,
+            faktory_queued_bytes: faktory_connections * QUEUED_BYTES_OF_CONNECTION,
             faktory_payload_bytes: of_faktory(FAKTORY_PAYLOADS_PERCENT)
                 .clamp(BODIES_BYTES_MIN, FAKTORY_PAYLOAD_BYTES_MAX),
             faktory_job_ids: (of_faktory(FAKTORY_IDS_PERCENT) / FAKTORY_ID_BYTES)
@@ -124,8 +140,10 @@
         let of_each = self.answers_bytes
             + self.list_response_bytes * LIST_EXPANSION
             + self.recent_ids * RECENT_ID_BYTES;
-        let platform = self.connections * CONNECTION_BYTES + self.bodies_bytes + PROCESSES * of_each;
+        let platform =
+            self.connections * CONNECTION_BYTES + self.queued_bytes + self.bodies_bytes + PROCESSES * of_each;
         let faktory = self.faktory_connections * FAKTORY_CONNECTION_BYTES
+            + self.faktory_queued_bytes
             + self.faktory_payload_bytes
             + self.faktory_job_ids * FAKTORY_ID_BYTES;
         let held = match self.frontends {
@@ -149,7 +167,8 @@
 
     /// Upper bound of what a process holds that has this many connections and this much memory in bodies.
     pub fn process_bound(&self, connections: usize, bodies_kib: usize) -> usize {
-        PROCESS_BYTES + connections * CONNECTION_BYTES + bodies_kib * KIB + self.answers_bytes
+        let connection_bytes = CONNECTION_BYTES + QUEUED_BYTES_OF_CONNECTION;
+        PROCESS_BYTES + connections * connection_bytes + bodies_kib * KIB + self.answers_bytes
     }
 }
 
@@ -157,14 +176,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "connections {}, bodies {} KiB, answers {} KiB, list response {} KiB, recent ids {}, \
-             Faktory connections {}, Faktory payloads {} KiB, Faktory job ids {}",
+            "connections {}, queued events {} KiB, bodies {} KiB, answers {} KiB, list response {} KiB, recent ids {}, \
+             Faktory connections {}, Faktory queued events {} KiB, Faktory payloads {} KiB, Faktory job ids {}",
             self.connections,
+            self.queued_bytes / KIB,
             self.bodies_bytes / KIB,
             self.answers_bytes / KIB,
             self.list_response_bytes / KIB,
             self.recent_ids,
             self.faktory_connections,
+            self.faktory_queued_bytes / KIB,
             self.faktory_payload_bytes / KIB,
             self.faktory_job_ids,
         )
--- a/node/src/platform/mod.rs
+++ b/node/src/platform/mod.rs
@@ -28,6 +28,7 @@
 pub mod socket;
 mod startup;
 mod transport;
+mod update_pace;
 mod worker_response;
 
 pub use endpoint_watch::ListSharing;
@@ -35,9 +36,9 @@
 
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::dispatcher::{queue, Answer};
+use crate::dispatcher::{queue, Answer, Inbox};
 use crate::membership;
-use crate::memory::{HeapGauge, MemoryPlan};
+use crate::memory::{HeapGauge, MemoryPlan, QUEUED_EVENT_BYTES};
 use crate::phase::Phases;
 use crate::process_handover::Predecessor;
 use crate::settings_merge::EffectiveSettings;
@@ -92,6 +93,8 @@
     reply: oneshot::Sender<Answer>,
 }
 
+const _: () = assert!(Inbox::<Job>::EVENT_BYTES <= QUEUED_EVENT_BYTES, "the memory plan counts too little");
+
 /// What the process provides to the frontend.
 pub struct Dependencies {
     /// Counters of this frontend.
--- a/node/src/platform/worker_response.rs
+++ b/node/src/platform/worker_response.rs
@@ -1,6 +1,7 @@
 //! Response of a worker: its updates line by line, and what is left of it after the final one.
 
 use super::answer_memory::{AnswerMemory, NoMemory};
+use super::update_pace::UpdatePace;
 use crate::line_buffer::LineBuffer;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -35,21 +36,23 @@
     body: Incoming,
     buffer: LineBuffer,
     memory: AnswerMemory,
+    pace: UpdatePace,
 }
 
 impl UpdateLines {
     /// Reads the lines of this body.
     pub fn new(body: Incoming, memory: AnswerMemory) -> UpdateLines {
-        UpdateLines { body, buffer: LineBuffer::default(), memory }
+        UpdateLines { body, buffer: LineBuffer::default(), memory, pace: UpdatePace::default() }
     }
 
-    /// Returns the next line.
+    /// Returns the next line, after a pause if the worker has sent too much too fast.
     ///
     /// # Errors
     /// [`LineError`] if there is none.
     pub async fn next(&mut self) -> Result<BytesMut, LineError> {
         loop {
             while let Some(line) = self.buffer.next_line() {
+                self.pace.line_read(line.len()).await;
                 if !line.trim_ascii().is_empty() {
                     return Ok(line);
                 }
--- a/node/tests/dispatcher.rs
+++ b/node/tests/dispatcher.rs
@@ -219,3 +219,36 @@
     assert_eq!((counters.shed.get(), counters.failed.get()), (REQUESTS, 0), "{counters}");
     task.abort();
 }
+
+/// Guards against review 6: an attempt whose worker reports without a pause filled the queue, which has no limit.
+#[tokio::test]
+async fn unread_reports_of_an_attempt_take_one_place_in_the_queue() {
+    const REPORTS: u32 = 10_000;
+    let (handle, inbox) = queue::<u64>();
+    for report in 0..REPORTS {
+        for request in 1..=3 {
+            let attempt_id = AttemptId { request, attempt: 0 };
+            handle.acknowledged(attempt_id);
+            handle.started(attempt_id);
+            handle.progress(attempt_id, f64::from(report) / f64::from(REPORTS));
+        }
+    }
+    assert_eq!(inbox.len(), 3);
+}
+
+/// Guards against review 6: the dispatcher yielded after a fixed number of events, however many the other tasks sent meanwhile.
+#[tokio::test]
+async fn the_dispatcher_empties_its_queue_each_time_it_runs() {
+    const REQUESTS: u64 = 5_000;
+    let (settings, _) = parse_settings(&settings(true, 1_000_000)).unwrap();
+    let (record, counters) = (Arc::new(Mutex::new(Record::default())), Arc::new(Counters::default()));
+    let (handle, inbox) = queue();
+    let dispatcher = Dispatcher::new(settings, 7, RecordingFrontend(record), counters.clone()).unwrap();
+    for n in 0..REQUESTS {
+        handle.submit(Request { time_left_us: 5_000_000, ..Request::default() }, n);
+    }
+    let task = tokio::spawn(dispatcher.run(inbox));
+    tokio::task::yield_now().await;
+    assert_eq!(counters.requests_accepted.get(), REQUESTS);
+    task.abort();
+}
--- a/node/tests/memory_limits.rs
+++ b/node/tests/memory_limits.rs
@@ -32,6 +32,8 @@
 const SLOTS: usize = 12;
 /// Time that a client waits after a request that was not served.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Ticks of a process' processor time in a second.
+const CPU_TICKS_PER_S: f64 = 100.0;
 /// KiB in a megabyte of `memory_mb`.
 const KIB_PER_MB: u64 = 1024;
 
@@ -501,3 +503,123 @@
         assert!(2 * served >= answered, "{flood:?}: {served} of {answered} served");
     }
 }
+
+/// Lines of an answer that never ends: the worker repeats them without a pause.
+const ENDLESS_ANSWERS: [&[&str]; 4] = [
+    &[r#""state":"running","share":0.4"#],
+    &[r#""state":"started""#],
+    &[r#""state":"started""#, r#""state":"running","share":0.4"#],
+    &[
+        r#""state":"running","share":0.1"#,
+        r#""state":"running","share":0.2"#,
+        r#""state":"running","share":0.3"#,
+    ],
+];
+/// Lines that such a worker writes at once.
+const LINES_AT_ONCE: usize = 100;
+/// Part of an id by which a worker knows that its answer is not to end.
+const ENDLESS: &str = "endless";
+
+/// A worker that answers each request at once, but those whose id says so without an end.
+async fn serve_as_endless_worker(worker: Worker, states: &'static [&'static str]) {
+    while let Ok((socket, _)) = worker.0.accept().await {
+        tokio::spawn(async move {
+            let mut stream = BufReader::new(socket);
+            while answer_without_end(&mut stream, states).await.is_some() {}
+        });
+    }
+}
+
+async fn answer_without_end(stream: &mut BufReader<TcpStream>, states: &[&str]) -> Option<()> {
+    let head = head(stream).await?;
+    let mut body = vec![0; length(&head)];
+    stream.read_exact(&mut body).await.ok()?;
+    let id = testbed::wire::field(&head, "x-request-id")?;
+    if !id.contains(ENDLESS) {
+        let response = Response { result_bytes: 10, piece_bytes: 1000, work: Duration::from_millis(10) };
+        return send_result(stream, &head, response).await;
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
+    let line = |n: usize| format!("{{\"id\":\"{id}\",{}}}\n", states[n % states.len()]);
+    let lines: String = (0..LINES_AT_ONCE * states.len()).map(line).collect();
+    let chunk = format!("{:x}\r\n{lines}\r\n", lines.len());
+    loop {
+        stream.write_all(chunk.as_bytes()).await.ok()?;
+    }
+}
+
+/// Guards against review 6: a worker whose answer never ends filled the dispatcher's queue. However many such answers there
+/// are, the memory stays within its limit, the requests have their answer by their deadline, others are served as always,
+/// and one such answer takes no more than a quarter of the processor time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_never_end_stay_within_the_limits_of_memory_and_time() {
+    /// Time for which a client waits for its answer, and after which an answer is lost.
+    const DEADLINE: Duration = Duration::from_secs(2);
+    const LATE_ANSWER: Duration = Duration::from_millis(500);
+    const USUAL_TIME: Duration = Duration::from_millis(500);
+    const EIGHT: usize = 8;
+    let _running = RUNNING.lock().await;
+    let cases = ENDLESS_ANSWERS.map(|states| (states, 1)).into_iter().chain([(ENDLESS_ANSWERS[0], EIGHT)]);
+    for (case, (states, endless)) in cases.enumerate() {
+        let mut known = Vec::new();
+        for n in 0..WORKERS {
+            let worker = Worker::start().await;
+            known.push(worker.list_entry(&format!("s-{n}"), "in_service"));
+            tokio::spawn(serve_as_endless_worker(worker, states));
+        }
+        let limited = LimitedNode::start(21 + case as u8, 48, 256, known).await;
+        let (at, process) = (limited.node.listen, &limited.node.process);
+        let (memory, started_at, ticks) = (limited.sample(), Instant::now(), process.cpu_ticks().unwrap());
+        let requests: Vec<_> = (0..endless)
+            .map(|n| {
+                let text = request("check", &format!("{ENDLESS}-{n}"), DEADLINE.as_secs_f64(), "x");
+                tokio::spawn(async move { timeout(DEADLINE + LATE_ANSWER, send_and_read(at, &text)).await })
+            })
+            .collect();
+        let (mut kept, mut sent) = (None, 0);
+        while started_at.elapsed() < DEADLINE - USUAL_TIME {
+            sent += 1;
+            let text = request("check", &format!("other-{sent}"), DEADLINE.as_secs_f64(), "x");
+            let answer = timeout(USUAL_TIME, exchange_on(&mut kept, at, &text)).await;
+            assert_eq!(answer, Ok(Some(200)), "case {case}, request {sent} of others");
+            sleep(Duration::from_millis(50)).await; // the decision module limits the rate at which it admits requests
+        }
+        let used = (process.cpu_ticks().unwrap() - ticks) as f64
+            / CPU_TICKS_PER_S
+            / started_at.elapsed().as_secs_f64();
+        for request in requests {
+            let answer = request.await.unwrap();
+            assert!(matches!(answer, Ok(Some(_))), "case {case}: the request has an answer by its deadline");
+        }
+        println!(
+            "case {case}: {endless} without an end, {sent} others served, {used:.2} of the processor time"
+        );
+        memory.assert_within("answers without an end", limited.memory_mb);
+        assert!(endless > 1 || used <= 0.25, "case {case}: {used:.2} of the processor time");
+    }
+}
+
+/// Guards against review 6 in an upgrade: an answer that never ends stays with the old process or moves to the new one, and
+/// fills the queue of neither.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_never_ends_fills_no_queue_in_an_upgrade() {
+    const DEADLINE: Duration = Duration::from_secs(3);
+    const LATE_ANSWER: Duration = Duration::from_millis(500);
+    let _running = RUNNING.lock().await;
+    let worker = Worker::start().await;
+    let known = vec![worker.list_entry("s-1", "in_service")];
+    tokio::spawn(serve_as_endless_worker(worker, ENDLESS_ANSWERS[0]));
+    let limited = LimitedNode::start(26, 48, 256, known).await;
+    let at = limited.node.listen;
+    let text = request("check", &format!("{ENDLESS}-1"), DEADLINE.as_secs_f64(), "x");
+    let endless =
+        tokio::spawn(async move { timeout(DEADLINE + LATE_ANSWER, send_and_read(at, &text)).await });
+    sleep(Duration::from_millis(50)).await;
+    let management = SocketAddr::new(at.ip(), at.port() + 1001);
+    let successor = limited.node.start_successor(&limited.folder.0, management, &limited.parts);
+    let memory = MemorySampler::start(vec![limited.node.process.id(), successor.process.id()]);
+    assert!(matches!(endless.await.unwrap(), Ok(Some(_))), "the request has an answer by its deadline");
+    memory.assert_within("both processes, an answer without an end", limited.memory_mb);
+    let health = call(management, "GET", "/healthcheck").await;
+    assert_eq!(health.map(|(status, _)| status), Some(200), "the successor serves");
+}
--- a/node/tests/memory_plan.rs
+++ b/node/tests/memory_plan.rs
@@ -1,6 +1,6 @@
 //! Division of the memory limit, and what happens above its marks.
 
-use molevale::memory::{Frontends, HeapGauge, MemoryPlan, MemoryPressure};
+use molevale::memory::{Frontends, HeapGauge, MemoryPlan, MemoryPressure, QUEUED_EVENT_BYTES};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 const MEGABYTE: usize = 1 << 20;
@@ -19,6 +19,23 @@
     }
 }
 
+/// Guards against review 6: the dispatcher's queue was in no part of the plan. The sum has a place for the events of each
+/// connection.
+#[test]
+fn the_sum_of_the_bounds_includes_the_queued_events() {
+    for frontends in ALL_FRONTENDS {
+        let plan = MemoryPlan::new(192, frontends);
+        let without_queues = MemoryPlan { queued_bytes: 0, faktory_queued_bytes: 0, ..plan };
+        let connections = match frontends {
+            Frontends::Platform => plan.connections,
+            Frontends::Faktory => plan.faktory_connections,
+            Frontends::Both => plan.connections + plan.faktory_connections,
+        };
+        let queued = plan.total_bytes() - without_queues.total_bytes();
+        assert_eq!(queued, connections * 4 * QUEUED_EVENT_BYTES, "{frontends:?}");
+    }
+}
+
 /// A higher limit never allows less, and the largest limit of the platform allows a connection for each descriptor.
 #[test]
 fn a_higher_limit_allows_more() {
