Stop: the settings in force decide when SIGKILL is expected

Callers saw: after a new configuration without the class of the longest deadline, or with a shorter one, a request that came 1.2 s after SIGTERM had no answer when SIGKILL came.

Cause: `longest_deadline` of the merged settings never fell, and stood for two facts: how long open work may last, and when the platform kills. A request also went by the settings of its head, which may be older than those in force.

Change: the two facts have names and are derived; `KillTime`, one for each frontend, owns the time of SIGKILL, which follows the settings and only comes nearer once the process was told to stop. Open requests of a class that is gone and lasts longer than the platform counts are answered before it. Why this works: nothing that decides the kill time looks at classes that are not offered.

--- a/node/src/class_rules.rs
+++ b/node/src/class_rules.rs
@@ -3,6 +3,7 @@
 
 use dispatch_policy::api::{ClassSettings, Idempotency, KeyScope};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Whether requests of a class may be executed more than once, in the words of the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,6 +99,11 @@
         &self.name
     }
 
+    /// Longest time for which a client waits for the answer to one of its requests.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_micros(self.deadline_us)
+    }
+
     /// Whether its requests may be executed more than once.
     pub fn idempotency(&self) -> Idempotency {
         self.semantics.into()
--- a/node/src/dispatcher/mod.rs
+++ b/node/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod actions;
 mod attempt_updates;
 mod clock;
+mod deadline_limit;
 mod frontend;
 mod queue;
 mod request_table;
@@ -18,6 +19,7 @@
 pub use queue::{queue, Handle, Inbox};
 
 use crate::counters::Counters;
+use deadline_limit::DeadlineLimit;
 use dispatch_policy::api::{Event, InvalidSettings, Settings};
 use dispatch_policy::Policy;
 use queue::DispatcherEvent;
@@ -40,6 +42,8 @@
     clock: Clock,
     timers: Timers,
     requests: RequestTable<F>,
+    /// Limit of deadlines in a process that is to end.
+    deadline_limit: Option<DeadlineLimit>,
     /// Events not yet passed to the decision module.
     events: VecDeque<Event>,
     counters: Arc<Counters>,
@@ -67,6 +71,7 @@
             clock,
             timers: Timers::default(),
             requests: RequestTable::default(),
+            deadline_limit: None,
             events: VecDeque::new(),
             counters,
             counted_slow_start_violations: 0,
@@ -126,6 +131,7 @@
             DispatcherEvent::ProbeEnded(worker, responded, report) => {
                 self.notify_policy(Event::ProbeEnded { worker, responded, report });
             }
+            DispatcherEvent::LimitDeadlines(limit) => self.limit_deadlines(limit),
             DispatcherEvent::ListTransferable(reply) => {
                 let _ = reply.send(self.transferable()); // fails if the caller no longer waits
             }
--- a/node/src/dispatcher/queue.rs
+++ b/node/src/dispatcher/queue.rs
@@ -1,6 +1,7 @@
 //! Event queue of a dispatcher, and the handle with which frontends send events to it.
 
 use super::attempt_updates::{AttemptUpdates, UnreadUpdates};
+use super::deadline_limit::DeadlineLimit;
 use super::{AttemptId, AttemptStart};
 use bytes::Bytes;
 use dispatch_policy::api::{Endpoint, LoadReport, Outcome, Request, RequestId, Settings, WorkerId};
@@ -42,6 +43,7 @@
     },
     PeerRates(u32, Vec<u8>),
     ProbeEnded(WorkerId, bool, Option<LoadReport>),
+    LimitDeadlines(DeadlineLimit),
     ListTransferable(oneshot::Sender<Vec<AttemptId>>),
     FreezeForTransfer {
         attempt_id: AttemptId,
@@ -67,7 +69,7 @@
 /// | `acknowledged`, `started`, `progress` | workers | one event for a running attempt, however much its worker sends |
 /// | `ended` | workers, the dispatcher | one for an attempt |
 /// | `update_endpoints`, `endpoint_list_failed` | discovery; Faktory workers | one for a response; one for a session's start, drain and end |
-/// | `update_settings` | operators, membership | one for a change |
+/// | `update_settings`, `limit_deadlines` | operators, membership | one for a change |
 /// | `peer_rates` | other nodes | the rate at which datagrams are read |
 /// | `probe_ended` | workers | one for a probe, which the dispatcher requests |
 pub struct Handle<J> {
@@ -186,6 +188,11 @@
         self.push(DispatcherEvent::Settings { settings: Box::new(settings), inherits_from });
     }
 
+    /// Lets requests of these classes, open ones and later ones, be answered by this time if their deadline is later.
+    pub fn limit_deadlines(&self, classes: Vec<usize>, until: Instant) {
+        self.push(DispatcherEvent::LimitDeadlines(DeadlineLimit { classes, until }));
+    }
+
     /// Reports a peer's rates of tenants; `from` is its number.
     pub fn peer_rates(&self, from: u32, rates: Vec<u8>) {
         self.push(DispatcherEvent::PeerRates(from, rates));
--- a/node/src/dispatcher/request_table.rs
+++ b/node/src/dispatcher/request_table.rs
@@ -71,7 +71,11 @@
 pub(super) struct RequestEntry<F: Frontend> {
     /// The job, until the request is answered or its client leaves.
     pub job: Option<F::Job>,
+    pub class: usize,
+    /// Time by which it is answered.
     pub deadline: Instant,
+    /// Whether that is earlier than the deadline that the decision module knows.
+    pub is_deadline_limited: bool,
     pub attempts: u32,
     /// Maximum number of attempts, by the settings at the request's arrival.
     pub max_attempts: u32,
@@ -118,6 +122,10 @@
         self.0.get_mut(&id)
     }
 
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&RequestId, &mut RequestEntry<F>)> {
+        self.0.iter_mut()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&RequestId, &RequestEntry<F>)> {
         self.0.iter()
     }
--- a/node/src/dispatcher/requests.rs
+++ b/node/src/dispatcher/requests.rs
@@ -19,13 +19,16 @@
     pub(super) fn submit(&mut self, mut request: Request, job: F::Job, submitted_at: Instant) {
         self.counters.requests_accepted.add();
         let now = Instant::now();
-        let deadline = submitted_at + Duration::from_micros(request.time_left_us);
-        if now.saturating_duration_since(submitted_at) >= NOTABLE_WAIT {
+        let requested = submitted_at + Duration::from_micros(request.time_left_us);
+        let deadline = self.limited_deadline(request.class, requested);
+        if deadline < requested || now.saturating_duration_since(submitted_at) >= NOTABLE_WAIT {
             request.time_left_us = deadline.saturating_duration_since(now).as_micros() as Micros;
         }
         let entry = RequestEntry {
             job: Some(job),
+            class: request.class,
             deadline,
+            is_deadline_limited: false,
             attempts: 0,
             max_attempts: self.settings.max_attempts,
             last_attempt: None,
@@ -46,11 +49,14 @@
         self.counters.transferred_in.add();
         self.add_in_flight();
         let id = request.id;
+        let deadline = self.limited_deadline(request.class, sent.deadline);
         let attempt =
             self.frontend.send(AttemptId { request: id, attempt: 0 }, &job, sent.worker, sent.deadline);
         let entry = RequestEntry {
             job: Some(job),
-            deadline: sent.deadline,
+            class: request.class,
+            deadline,
+            is_deadline_limited: deadline < sent.deadline,
             attempts: 1,
             max_attempts: sent.max_attempts,
             last_attempt: Some(sent),
@@ -59,7 +65,7 @@
             attempt: AttemptState::Running(attempt),
         };
         self.requests.insert(id, entry);
-        self.timers.schedule_deadline(sent.deadline, id);
+        self.timers.schedule_deadline(deadline, id);
         let us_since = |at: Instant| at.elapsed().as_micros() as Micros;
         let (since_sent_us, since_started_us) = (us_since(sent.sent_at), sent.started_at.map(us_since));
         self.notify_policy(Event::RequestAdopted {
@@ -160,6 +166,9 @@
     /// fails the request.
     pub(super) fn deadline_reached(&mut self, id: RequestId) {
         let Some(entry) = self.requests.get_mut(id) else { return };
+        if entry.is_deadline_limited {
+            return self.fail_before_deadline(id);
+        }
         if entry.attempt.is_in_flight() {
             if let Some(attempt) = entry.attempt.begin_stop() {
                 self.frontend.stop(attempt, Outcome::Timeout);
--- a/node/src/faktory/server.rs
+++ b/node/src/faktory/server.rs
@@ -9,6 +9,7 @@
 use crate::acceptor::Acceptor;
 use crate::counters::Counters;
 use crate::dispatcher::{queue, Dispatcher, Inbox};
+use crate::kill_time::KillTime;
 use crate::memory::{MemoryPlan, QUEUED_EVENT_BYTES};
 use crate::names::{self, parse_settings};
 use crate::phase::{Phase, Phases};
@@ -69,7 +70,10 @@
     password: Option<String>,
     counters: Arc<Counters>,
     phases: Phases,
+    /// Longest time for which an open job can last.
     longest_deadline: Duration,
+    /// When a stopping process may be killed. The settings of this frontend are those of its start.
+    kill_time: KillTime,
     /// Number of replies that are being written.
     replies: Arc<AtomicUsize>,
     next_session: AtomicU64,
@@ -108,7 +112,7 @@
     /// Whether new jobs are taken. None are once they would have to be answered before SIGKILL may come.
     pub fn intake(&self) -> Intake {
         let is_closing = self.phases.current().closes_connections();
-        if is_closing || self.phases.answer_deadline(self.longest_deadline).is_some() {
+        if is_closing || self.kill_time.answer_deadline().is_some() {
             return Intake::Closed;
         }
         Intake::Open
@@ -208,6 +212,7 @@
             leases,
             password,
             counters: counters.clone(),
+            kill_time: KillTime::new(phases.clone(), longest_deadline),
             phases,
             longest_deadline,
             replies: Arc::default(),
@@ -263,7 +268,7 @@
         let mut phase = self.shared.phases.subscribe();
         let _ = phase.wait_for(|phase| *phase == Phase::Closing).await; // fails if the process has no phases any more
         let (now, longest_deadline) = (Instant::now(), self.shared.longest_deadline);
-        let end = self.shared.phases.end_deadline(longest_deadline).unwrap_or(now);
+        let end = self.shared.kill_time.end_deadline().unwrap_or(now);
         let mut check = interval(DRAIN_CHECK_INTERVAL);
         while self.shared.owes_anything(now + longest_deadline, end) {
             check.tick().await;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod endpoint_list;
 pub mod faktory;
 pub mod invariants;
+pub mod kill_time;
 pub mod line_buffer;
 pub mod logger;
 pub mod management;
--- a/node/src/names.rs
+++ b/node/src/names.rs
@@ -47,8 +47,6 @@
     pub worker_idle_timeout: Duration,
     /// Time after which a draining worker gets no further requests.
     pub drain_grace: Duration,
-    /// Longest deadline of a class, including those that are no longer offered.
-    pub longest_deadline: Duration,
 }
 
 impl Names {
@@ -63,6 +61,17 @@
         self.class_rules[class].idempotency()
     }
 
+    /// Longest deadline of the classes that are offered, from which the platform derives when a stopping process is killed.
+    pub fn longest_offered_deadline(&self) -> Duration {
+        let offered = (0..self.class_rules.len()).filter(|class| !self.retired_classes.contains(class));
+        offered.map(|class| self.class_rules[class].deadline()).max().unwrap_or_default()
+    }
+
+    /// Longest deadline that an open request may have, also of a class that is no longer offered.
+    pub fn longest_open_deadline(&self) -> Duration {
+        self.class_rules.iter().map(ClassRules::deadline).max().unwrap_or_default()
+    }
+
     /// Number of the class, offered or not, that has exactly these rules.
     pub fn class_with_rules(&self, rules: &ClassRules) -> Option<usize> {
         self.class_rules.iter().position(|other| other == rules)
@@ -127,7 +136,6 @@
     let named_classes = classes.iter().zip(&settings.classes);
     let class_rules = named_classes.map(|(name, class)| ClassRules::new(name, class, &kinds)).collect();
     let report_names = value.get("Stats").and_then(|stats| stats.get("Fields")).map(scalar_names);
-    let longest = settings.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0);
     let duration = |key: &str, default: Duration| {
         pairs.unsigned(key, default.as_micros() as u64).map(Duration::from_micros)
     };
@@ -144,7 +152,6 @@
         connect_timeout: duration("Limits.ConnectTimeoutUs", DEFAULT_CONNECT_TIMEOUT)?,
         worker_idle_timeout: duration("Limits.ConnIdleUs", DEFAULT_CONNECTION_IDLE)?,
         drain_grace: duration("Invariants.DrainGraceUs", DEFAULT_DRAIN_GRACE)?,
-        longest_deadline: Duration::from_micros(longest),
     })
 }
 
--- a/node/src/phase.rs
+++ b/node/src/phase.rs
@@ -10,16 +10,6 @@
 /// answered.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(720);
 
-/// Time after SIGTERM within which an arriving request may be interrupted by SIGKILL; later ones must be answered
-/// before.
-const INTERRUPTIBLE_PERIOD: Duration = Duration::from_millis(700);
-/// Cap on the deadline that counts towards the time of SIGKILL. SIGKILL comes no sooner after SIGTERM than 0.7 s plus
-/// the longest deadline of a class, of which at most this much is counted.
-const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
-/// Reserve before SIGKILL: time for an answer to reach its client, and for a SIGTERM that is noticed late because the
-/// process was blocked or a wake-up was lost (see [`crate::signals`]).
-const KILL_RESERVE: Duration = Duration::from_millis(180);
-
 /// Phase of a process between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -46,6 +36,11 @@
         matches!(self, Phase::Draining | Phase::HandedOver | Phase::Closing)
     }
 
+    /// Whether the process was told to stop.
+    pub fn is_stopping(self) -> bool {
+        matches!(self, Phase::Stopping | Phase::Closing)
+    }
+
     /// Whether new connections are accepted.
     pub fn accepts_connections(self) -> bool {
         !matches!(self, Phase::HandedOver | Phase::Closing)
@@ -118,7 +113,12 @@
 
     /// Whether the process was told to stop.
     pub fn is_stop_requested(&self) -> bool {
-        self.stopped_at.get().is_some()
+        self.stopped_at().is_some()
+    }
+
+    /// When the process was told to stop, if it was.
+    pub fn stopped_at(&self) -> Option<Instant> {
+        self.stopped_at.get().copied()
     }
 
     /// Starts a task that stops the process at SIGTERM or SIGINT.
@@ -131,19 +131,6 @@
         });
     }
 
-    /// Time by which a request that arrives now must be answered because SIGKILL may come before its own deadline;
-    /// `None` if the process is not stopping, or the request may be interrupted.
-    pub fn answer_deadline(&self, longest_deadline: Duration) -> Option<Instant> {
-        self.stopped_at.get().filter(|at| at.elapsed() > INTERRUPTIBLE_PERIOD)?;
-        self.end_deadline(longest_deadline)
-    }
-
-    /// Time by which this process should have ended because SIGKILL may come then; `None` if it was not told to stop.
-    pub fn end_deadline(&self, longest_deadline: Duration) -> Option<Instant> {
-        let killed_after = longest_deadline.min(MAX_COUNTED_DEADLINE) + INTERRUPTIBLE_PERIOD;
-        self.stopped_at.get().map(|at| *at + killed_after - KILL_RESERVE)
-    }
-
     /// Changes the phase if `next` returns one. Returns the phase afterwards.
     fn transition(&self, next: impl FnOnce(Phase) -> Option<Phase>) -> Phase {
         self.current.send_if_modified(|phase| {
--- a/node/src/platform/server/mod.rs
+++ b/node/src/platform/server/mod.rs
@@ -14,8 +14,9 @@
 use crate::acceptor::{Accepted, Acceptor};
 use crate::counters::Counters;
 use crate::dispatcher::Handle;
+use crate::kill_time::KillTime;
 use crate::names::Names;
-use crate::phase::{Phase, Phases};
+use crate::phase::Phase;
 use connection::ClientConnection;
 use std::collections::HashMap;
 use std::io;
@@ -70,8 +71,8 @@
     pub counters: Arc<Counters>,
     /// Budget for connections and requests.
     pub budget: Arc<ResourceBudget>,
-    /// Life cycle of the process.
-    pub phases: Phases,
+    /// When a stopping process may be killed.
+    pub kill_time: KillTime,
     /// Current phase of the process.
     pub phase: watch::Receiver<Phase>,
     /// Whether this process accepted connections until it was stopped, and accepts no more.
@@ -141,7 +142,7 @@
     /// to be sent. The process must not exit earlier, because a request that came just before the listener
     /// closed is to be answered.
     async fn wait_for_final_answers(&self) {
-        let longest_deadline = self.names.borrow().longest_deadline;
+        let longest_deadline = self.names.borrow().longest_open_deadline();
         if timeout(longest_deadline + FINAL_ANSWER_GRACE, self.budget.clients_closed()).await.is_err() {
             log::warn!(event = "connections_open_at_exit"; "client connections are still open at exit");
         }
--- a/node/src/platform/server/request.rs
+++ b/node/src/platform/server/request.rs
@@ -111,7 +111,7 @@
         let fields = fields::parse_request(&head.headers, path, query, &names, numbers);
         let fields = fields.map_err(InvalidRequest::from)?;
         let forwarded = ForwardedHead::new(&head)?;
-        Ok(ValidatedRequest { forwarded, body, names, fields, adopted, body_memory })
+        Ok(ValidatedRequest { forwarded, body, fields, adopted, body_memory })
     }
 
     /// Passes a request to the dispatcher.
@@ -120,7 +120,7 @@
         request: CompleteRequest<'a>,
         connection: &'a ClientConnection,
     ) -> Result<AcceptedRequest<'a>, RequestError> {
-        let CompleteRequest { forwarded, body, names, mut fields, adopted, body_memory } = request;
+        let CompleteRequest { forwarded, body, mut fields, adopted, body_memory } = request;
         let ForwardedHead { target, id, idempotency_key } = forwarded;
         let id = match adopted {
             Some(_) => self.budget.in_flight_ids.insert_transferred(&id).ok_or(IdConflict::InFlight),
@@ -128,7 +128,7 @@
         };
         let id = id.map_err(InvalidRequest::from)?;
         if adopted.is_none() {
-            fields.time_left_us = self.time_left_us(fields.time_left_us, connection, &names);
+            fields.time_left_us = self.time_left_us(fields.time_left_us, connection);
             if fields.time_left_us == 0 {
                 return Err(ShedReason::DeadlinePassed.into());
             }
@@ -162,12 +162,12 @@
     }
 
     /// Time that the client still waits for the connection's newest request, in microseconds.
-    fn time_left_us(&self, requested_us: u64, connection: &ClientConnection, names: &Names) -> u64 {
+    fn time_left_us(&self, requested_us: u64, connection: &ClientConnection) -> u64 {
         // The client's deadline has been running since before its connection was accepted; workers get the
         // remaining time.
         let left = requested_us.saturating_sub(connection.accept_delay().as_micros() as u64);
         // A request that arrives while the node stops must be answered before SIGKILL ends the process.
-        match self.phases.answer_deadline(names.longest_deadline) {
+        match self.kill_time.answer_deadline() {
             Some(deadline) => left.min(deadline.saturating_duration_since(Instant::now()).as_micros() as u64),
             None => left,
         }
@@ -242,7 +242,6 @@
 struct ValidatedRequest<'a> {
     forwarded: ForwardedHead,
     body: Incoming,
-    names: Arc<Names>,
     fields: dispatch_policy::api::Request,
     adopted: Option<TransferredAttempt>,
     body_memory: Option<SemaphorePermit<'a>>,
@@ -250,7 +249,7 @@
 
 impl<'a> ValidatedRequest<'a> {
     async fn read_body(self, connection: &ClientConnection) -> Result<CompleteRequest<'a>, InvalidRequest> {
-        let ValidatedRequest { forwarded, body, names, fields, adopted, body_memory } = self;
+        let ValidatedRequest { forwarded, body, fields, adopted, body_memory } = self;
         let body = message_body::read(body, BODY_MAX);
         let body = match timeout_at(connection.monitor.message_deadline(), body).await {
             Ok(Ok(body)) => body,
@@ -258,7 +257,7 @@
             Ok(Err(BodyError::Broken(_))) => return Err(InvalidRequest::MalformedBody),
             Err(_) => return Err(InvalidRequest::BodyTimeout),
         };
-        Ok(CompleteRequest { forwarded, body, names, fields, adopted, body_memory })
+        Ok(CompleteRequest { forwarded, body, fields, adopted, body_memory })
     }
 }
 
@@ -266,7 +265,6 @@
 struct CompleteRequest<'a> {
     forwarded: ForwardedHead,
     body: Bytes,
-    names: Arc<Names>,
     fields: dispatch_policy::api::Request,
     adopted: Option<TransferredAttempt>,
     body_memory: Option<SemaphorePermit<'a>>,
--- a/node/src/platform/settings_updates.rs
+++ b/node/src/platform/settings_updates.rs
@@ -3,7 +3,9 @@
 use super::pool::Pool;
 use super::Job;
 use crate::dispatcher::{stable_hash, Handle};
+use crate::kill_time::KillTime;
 use crate::names::Names;
+use crate::phase::Phase;
 use crate::settings_merge::EffectiveSettings;
 use ::membership::FleetSize;
 use dispatch_policy::api::Settings;
@@ -22,23 +24,46 @@
     pub fleet_size: Option<watch::Receiver<FleetSize>>,
     /// Publishes the names on the wire to all parts of the frontend.
     pub names: watch::Sender<Arc<Names>>,
+    /// Phase of the process.
+    pub phase: watch::Receiver<Phase>,
+    /// When a stopping process may be killed.
+    pub kill_time: KillTime,
 }
 
 impl SettingsUpdates {
     /// Applies each change; never returns.
     pub async fn run(mut self) {
         loop {
-            tokio::select! {
-                Ok(()) = self.effective_settings.changed() => {}
-                () = fleet_size_changed(&mut self.fleet_size) => {}
+            let is_serving = !self.phase.borrow().is_stopping();
+            let has_changed = tokio::select! {
+                Ok(()) = self.effective_settings.changed() => true,
+                () = fleet_size_changed(&mut self.fleet_size) => true,
+                Ok(_) = self.phase.wait_for(|phase| phase.is_stopping()), if is_serving => false,
+            };
+            if has_changed {
+                self.apply();
             }
-            self.apply();
+            self.limit_outlasting_requests();
+        }
+    }
+
+    /// Lets requests be answered before the process may be killed that have a longer deadline than the settings in force
+    /// allow for: without a change of settings they would be answered by then.
+    fn limit_outlasting_requests(&self) {
+        let Some(deadline) = self.kill_time.end_deadline() else { return };
+        let names = self.names.borrow();
+        let is_outlasting =
+            |class: &usize| self.kill_time.is_outlasted_by(names.class_rules[*class].deadline());
+        let classes: Vec<usize> = (0..names.class_rules.len()).filter(is_outlasting).collect();
+        if !classes.is_empty() {
+            self.handle.limit_deadlines(classes, deadline);
         }
     }
 
     fn apply(&mut self) {
         let EffectiveSettings { settings, names } = self.effective_settings.borrow_and_update().clone();
         self.pool.set_timeouts(&names);
+        self.kill_time.settings_changed(names.longest_offered_deadline());
         let fleet_size = self.fleet_size.as_mut().map(|size| size.borrow_and_update().clone());
         let settings = platform_settings(settings, &names, fleet_size.as_ref());
         // The dispatcher is updated first: no request may arrive with a class that it does not know yet.
--- a/node/src/platform/startup.rs
+++ b/node/src/platform/startup.rs
@@ -15,6 +15,7 @@
 use crate::counters::{Counters, ResourceUsage};
 use crate::dispatcher::{Dispatcher, Handle, Inbox};
 use crate::endpoint_list::EndpointList;
+use crate::kill_time::KillTime;
 use crate::membership;
 use crate::names::Names;
 use crate::phase::Phases;
@@ -48,6 +49,7 @@
     budget: Arc<ResourceBudget>,
     counters: Arc<Counters>,
     phases: Phases,
+    kill_time: KillTime,
     discovery: watch::Receiver<Option<SocketAddr>>,
     handover_path: Option<PathBuf>,
     membership: Option<membership::Handle>,
@@ -97,6 +99,7 @@
             let budget = Arc::downgrade(&budget);
             move || budget.upgrade().map_or(ResourceUsage::default(), |budget| budget.usage())
         });
+        let longest_offered_deadline = initial_names.longest_offered_deadline();
         let startup = Startup {
             seed: config.seed,
             peer_listen_address: config.peer_listen,
@@ -110,6 +113,7 @@
             handle,
             budget,
             counters,
+            kill_time: KillTime::new(dependencies.phases.clone(), longest_offered_deadline),
             phases: dependencies.phases,
             discovery: dependencies.discovery,
             handover_path: dependencies.handover_path,
@@ -204,6 +208,8 @@
             effective_settings: self.effective_settings.clone(),
             fleet_size: self.membership.as_ref().map(|membership| membership.fleet_size()),
             names: self.names_sender.clone(),
+            phase: self.phases.subscribe(),
+            kill_time: self.kill_time.clone(),
         };
         tokio::spawn(updates.run());
     }
@@ -227,7 +233,7 @@
             counters: self.counters,
             budget: self.budget,
             phase: self.phases.subscribe(),
-            phases: self.phases,
+            kill_time: self.kill_time,
             has_released_listener: AtomicBool::new(false),
         })
     }
--- a/node/src/settings_merge.rs
+++ b/node/src/settings_merge.rs
@@ -5,7 +5,6 @@
 use crate::names::Names;
 use dispatch_policy::api::{ClassSettings, Settings, TenantSettings};
 use serde_json::Value;
-use std::time::Duration;
 
 /// Settings in effect, and the names that belong to them.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,7 +35,6 @@
                 retired_tenants: Vec::new(),
                 zones: union(&old.zones, &newer.names.zones),
                 kinds: union(&old.kinds, &newer.names.kinds),
-                longest_deadline: old.longest_deadline.max(newer.names.longest_deadline),
                 ..newer.names.clone()
             },
         };
@@ -76,11 +74,9 @@
             }
             let Some(class) = rules.to_settings(&new.names.kinds) else { continue };
             let mut extended = new.clone();
-            let deadline = Duration::from_micros(class.deadline_us);
             let number = extended.push_class(rules.name(), class);
             extended.settings.retired_classes.push(number);
             extended.names.retired_classes.push(number);
-            extended.names.longest_deadline = extended.names.longest_deadline.max(deadline);
             if extended.settings.validate().is_ok() {
                 new = extended;
             }
--- a/node/tests/golden/node/rendering.rs
+++ b/node/tests/golden/node/rendering.rs
@@ -169,7 +169,6 @@
         connect_timeout,
         worker_idle_timeout,
         drain_grace,
-        longest_deadline,
     } = names;
     let is_keyed = |rules: &ClassRules| matches!(rules.idempotency(), Idempotency::WithKey(_));
     let keyed: Vec<bool> = class_rules.iter().map(is_keyed).collect();
@@ -190,7 +189,7 @@
         ("connect timeout", connect_timeout),
         ("conn idle", worker_idle_timeout),
         ("drain grace", drain_grace),
-        ("longest", longest_deadline),
+        ("longest", &names.longest_open_deadline()),
     ];
     fields.into_iter().for_each(|(key, value)| write_field(out, key, value));
 }
