Faktory: a job that runs again leaves the answers of other ids

Callers saw: two clients push one job under two ids (+OK each), it is refused, one pushes again; `TRACK GET` of the other id says 'this job is unknown' until its client gives up.

Cause: a push that runs a job again removed the older job with all of its ids, read or not. The same at a refusal before admission, and an answer that was read late counted for the newer job of the same id.

Change: the older job keeps its own record for the ids whose clients have not read the answer; key and id of the push go to the newer job once it is accepted. An older id that is pushed again joins the newer job. Why this works: no id that was answered +OK loses its job before it is read or its time is up, and no client hears of a run that was begun for another push. The places of ids count as before, in the table and its shares.

--- a/node/src/faktory/leases/job.rs
+++ b/node/src/faktory/leases/job.rs
@@ -13,6 +13,14 @@
 /// Number of a session, which may hold only a part of the table.
 pub type SessionNumber = u64;
 
+/// A job that a client asks for.
+pub struct TrackedJob {
+    /// Its number, with which the answer is recorded as read.
+    pub number: JobNumber,
+    /// Its state.
+    pub state: JobState,
+}
+
 /// State of a job, as reported to clients.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobState {
@@ -61,6 +69,8 @@
     pub jid: String,
     /// Session that pushed it first.
     pub session: SessionNumber,
+    /// Older job that was pushed under this id and whose answer its client has not read, until this push is accepted.
+    pub older_job: Option<JobNumber>,
 }
 
 /// A job in the table.
@@ -82,6 +92,10 @@
     pub may_have_executed: bool,
     /// Workers that lost its lease and may still send a late `ACK` or `FAIL`.
     pub lost_by: BTreeSet<String>,
+    /// Older job with the same key that it runs again, until its first push is accepted.
+    pub supersedes: Option<JobNumber>,
+    /// Whether a newer job has its key.
+    pub is_superseded: bool,
     /// When it is removed, once it has ended.
     pub expires_at: Option<Instant>,
 }
--- a/node/src/faktory/leases/mod.rs
+++ b/node/src/faktory/leases/mod.rs
@@ -5,11 +5,12 @@
 mod assignment;
 mod job;
 mod submission;
+mod supersession;
 mod table_limits;
 mod workers;
 
 pub use assignment::{Delivery, LeaseError, OFFER_TIMEOUT};
-pub use job::{JobNumber, JobState, SessionNumber};
+pub use job::{JobNumber, JobState, SessionNumber, TrackedJob};
 pub use submission::{Intake, PushError, PushOutcome};
 pub use table_limits::TableLimits;
 pub use workers::{UnknownWorker, HEARTBEAT_TIMEOUT};
@@ -17,7 +18,7 @@
 use crate::dispatcher::Handle;
 use crate::names::Names;
 use dispatch_policy::api::{Idempotency, WorkerId};
-use job::{IdempotencyKey, Job};
+use job::{IdempotencyKey, Job, PushedId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -114,23 +115,33 @@
         self.jobs.len()
     }
 
-    /// State of the job that was pushed under this id; `None` if there is no such job.
-    pub fn job_state(&mut self, jid: &str) -> Option<JobState> {
+    /// The job that was pushed last under this id; `None` if there is no such job.
+    pub fn track(&mut self, jid: &str) -> Option<TrackedJob> {
         self.remove_expired();
-        self.numbers_by_jid.get(jid).and_then(|number| self.jobs.get(number)).map(Job::state)
+        let number = *self.numbers_by_jid.get(jid)?;
+        Some(TrackedJob { number, state: self.jobs.get(&number)?.state() })
+    }
+
+    /// State of the job that was pushed last under this id; `None` if there is no such job.
+    pub fn job_state(&mut self, jid: &str) -> Option<JobState> {
+        self.track(jid).map(|job| job.state)
     }
 
-    /// Records that a client has read the final answer to the job that was pushed under this id.
-    pub fn answer_read(&mut self, jid: &str) {
-        let Some(number) = self.numbers_by_jid.get(jid).copied() else { return };
+    /// Records that the client that pushed a job under this id has read its final answer.
+    pub fn answer_read(&mut self, number: JobNumber, jid: &str) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.unread_by.remove(jid);
-        let may_run_again = self.names.idempotency(job.key.class) == Idempotency::Idempotent;
-        if let Some(at) = job.expires_at.filter(|_| job.unread_by.is_empty() && may_run_again) {
+        let Some(job) = self.jobs.get(&number) else { return };
+        if let Some(at) = job.expires_at.filter(|_| self.is_releasable(job)) {
             self.releasable.insert((at, number));
         }
     }
 
+    /// Whether jobs of a class may be executed more than once.
+    fn is_idempotent(&self, class: usize) -> bool {
+        self.names.idempotency(class) == Idempotency::Idempotent
+    }
+
     /// Number of ended jobs whose answer a client that still waits has not read.
     pub fn unread_count(&self) -> usize {
         let now = Instant::now();
@@ -165,17 +176,28 @@
         }
     }
 
-    fn remove_job(&mut self, number: JobNumber) {
-        let Some(job) = self.jobs.remove(&number) else { return };
+    /// Removes a job. Its ids and its key that belong to a newer job stay.
+    fn remove_job(&mut self, number: JobNumber) -> Option<Job> {
+        let job = self.jobs.remove(&number)?;
         for id in &job.ids {
-            self.numbers_by_jid.remove(&id.jid);
-            self.release_place(id.session);
+            self.forget_id(number, id);
+        }
+        if self.numbers_by_key.get(&job.key) == Some(&number) {
+            self.numbers_by_key.remove(&job.key);
         }
-        self.numbers_by_key.remove(&job.key);
         if let Some(at) = job.expires_at {
             self.expiries.remove(&(at, number));
             self.releasable.remove(&(at, number));
         }
+        Some(job)
+    }
+
+    /// Frees the place of a job's id.
+    fn forget_id(&mut self, number: JobNumber, id: &PushedId) {
+        if self.numbers_by_jid.get(&id.jid) == Some(&number) {
+            self.numbers_by_jid.remove(&id.jid);
+        }
+        self.release_place(id.session);
     }
 
     fn take_place(&mut self, session: SessionNumber) {
--- a/node/src/faktory/leases/submission.rs
+++ b/node/src/faktory/leases/submission.rs
@@ -6,7 +6,7 @@
 use crate::faktory::command::Push;
 use crate::names::Names;
 use bytes::Bytes;
-use dispatch_policy::api::{Idempotency, Request};
+use dispatch_policy::api::Request;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -130,7 +130,8 @@
         let (sender, receiver) = oneshot::channel();
         let previous = self.find_previous(&submission.jid, &submission.key)?;
         if let Some(number) = previous.filter(|number| !self.may_execute_again(*number)) {
-            self.attach_duplicate(number, PushedId { jid: submission.jid, session }, sender)?;
+            let id = PushedId { jid: submission.jid, session, older_job: None };
+            self.attach_duplicate(number, id, sender)?;
             return Ok(receiver);
         }
         if intake == Intake::Closed {
@@ -140,10 +141,10 @@
             return Err(PushError::TableFull);
         }
         self.check_share(session)?;
-        match previous {
-            Some(number) => self.remove_job(number),
-            None => self.find_place()?,
+        if let Some(number) = previous {
+            self.drop_read_ids(number);
         }
+        self.find_place(&submission.jid)?;
         self.submit(session, submission, payload, sender);
         Ok(receiver)
     }
@@ -157,8 +158,12 @@
         Ok(())
     }
 
-    /// Checks that there is a place for an id. A full table gives up the record of an ended job that nobody needs any more.
-    fn find_place(&mut self) -> Result<(), PushError> {
+    /// Checks that there is a place for an id, unless it has one. A full table gives up the record of an ended job that nobody
+    /// needs any more.
+    fn find_place(&mut self, jid: &str) -> Result<(), PushError> {
+        if self.numbers_by_jid.contains_key(jid) {
+            return Ok(());
+        }
         while self.numbers_by_jid.len() >= self.table_limits.ids {
             let (_, number) = self.releasable.pop_first().ok_or(PushError::TableFull)?;
             self.remove_job(number);
@@ -177,20 +182,22 @@
         let Submission { jid, key, deadline_s, cost_hint_us } = submission;
         let number = self.allocate_number();
         self.payload_bytes += payload.len();
-        self.numbers_by_jid.insert(jid.clone(), number);
-        self.numbers_by_key.insert(key.clone(), number);
+        let older_job = self.numbers_by_jid.insert(jid.clone(), number);
+        let supersedes = self.numbers_by_key.insert(key.clone(), number);
         let (class, tenant) = (key.class, key.tenant);
         let class_deadline = self.limits[class].deadline;
         let job = Job {
             unread_by: BTreeSet::from([jid.clone()]),
             client_deadline: Instant::now() + class_deadline + LATE_COMMAND_GRACE,
-            ids: vec![PushedId { jid, session }],
+            ids: vec![PushedId { jid, session, older_job }],
             key,
             payload,
             progress: Progress::Submitted(vec![sender]),
             attempt: Attempt::None,
             may_have_executed: false,
             lost_by: BTreeSet::new(),
+            supersedes,
+            is_superseded: false,
             expires_at: None,
         };
         self.take_place(session);
@@ -209,7 +216,8 @@
         if by_jid.is_some_and(|number| self.jobs[&number].key != *key) {
             return Err(PushError::JidInUse);
         }
-        Ok(by_jid.or(self.numbers_by_key.get(key).copied()))
+        // The job that was pushed under the id may have been superseded by one with its key.
+        Ok(self.numbers_by_key.get(key).copied().or(by_jid))
     }
 
     /// Whether a push of a job that is in the table already is submitted as a new one. Otherwise it is a duplicate, which
@@ -217,12 +225,8 @@
     fn may_execute_again(&self, number: JobNumber) -> bool {
         let job = &self.jobs[&number];
         let Progress::Ended(answer, _) = &job.progress else { return false };
-        match self.names.idempotency(job.key.class) {
-            Idempotency::Idempotent => true,
-            Idempotency::WithKey(_) | Idempotency::NotIdempotent => {
-                matches!(answer, Answer::Shed(_)) && !job.may_have_executed
-            }
-        }
+        let was_never_executed = matches!(answer, Answer::Shed(_)) && !job.may_have_executed;
+        self.is_idempotent(job.key.class) || was_never_executed
     }
 
     /// Attaches a push to the job that it duplicates.
@@ -242,12 +246,17 @@
         }
         let Some(job) = self.jobs.get_mut(&number) else { return Ok(()) };
         job.unread_by.insert(jid);
+        let waits_until = Instant::now() + self.limits[job.key.class].deadline + LATE_COMMAND_GRACE;
+        job.client_deadline = job.client_deadline.max(waits_until);
         if let Some(at) = job.expires_at {
             self.releasable.remove(&(at, number));
         }
         match &mut job.progress {
             Progress::Submitted(senders) => senders.push(sender),
-            Progress::Admitted | Progress::Ended(..) => notify([sender], &PushOutcome::Accepted),
+            Progress::Admitted | Progress::Ended(..) => {
+                notify([sender], &PushOutcome::Accepted);
+                self.drop_older_answers(number);
+            }
         }
         Ok(())
     }
@@ -255,9 +264,10 @@
     /// Adds an id of a duplicate to a job.
     fn add_id(&mut self, number: JobNumber, id: PushedId) -> Result<(), PushError> {
         self.check_share(id.session)?;
-        self.find_place()?;
+        self.find_place(&id.jid)?;
         self.take_place(id.session);
-        self.numbers_by_jid.insert(id.jid.clone(), number);
+        let older_job = self.numbers_by_jid.insert(id.jid.clone(), number);
+        let id = PushedId { older_job, ..id };
         if let Some(job) = self.jobs.get_mut(&number) {
             job.ids.push(id);
         }
@@ -271,18 +281,21 @@
             let senders = std::mem::take(senders);
             job.progress = Progress::Admitted;
             notify(senders, &PushOutcome::Accepted);
+            self.drop_older_answers(number);
         }
     }
 
-    /// Handles the dispatcher's final answer to a job. A job that is shed before its admission is removed, and its push is
-    /// rejected.
+    /// Handles the dispatcher's final answer to a job. A job that is shed before its admission is removed, its push is
+    /// rejected, and an older job that it would have run again keeps its answer.
     pub fn job_answered(&mut self, number: JobNumber, answer: Answer) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         self.payload_bytes -= job.payload.len();
         job.payload = Bytes::new();
         if let (Progress::Submitted(senders), Answer::Shed(retry_after)) = (&mut job.progress, &answer) {
             let (senders, outcome) = (std::mem::take(senders), PushOutcome::Rejected(*retry_after));
-            self.remove_job(number);
+            if let Some(removed) = self.remove_job(number) {
+                self.restore_older_job(&removed);
+            }
             return notify(senders, &outcome);
         }
         let previous = std::mem::replace(&mut job.progress, Progress::Ended(answer, Instant::now()));
@@ -291,6 +304,7 @@
         self.expiries.insert((expires_at, number));
         if let Progress::Submitted(senders) = previous {
             notify(senders, &PushOutcome::Accepted);
+            self.drop_older_answers(number);
         }
     }
 }
--- a/node/src/faktory/session.rs
+++ b/node/src/faktory/session.rs
@@ -3,7 +3,9 @@
 use super::authentication::{check_handshake, greeting, Challenge, HandshakeError};
 use super::codec::{Line, SessionCodec};
 use super::command::{Beat, Command, Hello, Push, WorkerCommand};
-use super::leases::{Delivery, JobState, PushError, PushOutcome, SessionNumber, HEARTBEAT_TIMEOUT};
+use super::leases::{
+    Delivery, JobState, PushError, PushOutcome, SessionNumber, TrackedJob, HEARTBEAT_TIMEOUT,
+};
 use super::reply::Reply;
 use super::server::SharedState;
 use crate::dispatcher::Answer;
@@ -94,12 +96,14 @@
 
     /// Sends the state of a job. Its final answer counts as read once the client can't have missed the reply.
     async fn track(&mut self, jid: &str) -> Result<()> {
-        let state = self.shared.leases().job_state(jid);
-        let Some(state) = state else { return self.send(Reply::error("this job is unknown")).await };
+        let tracked = self.shared.leases().track(jid);
+        let Some(TrackedJob { number, state }) = tracked else {
+            return self.send(Reply::error("this job is unknown")).await;
+        };
         self.send(Reply::Bulk(Bytes::from(encode_state(jid, &state)))).await?;
         if matches!(state, JobState::Ended(_)) {
             self.confirm_receipt().await?;
-            self.shared.leases().answer_read(jid);
+            self.shared.leases().answer_read(number, jid);
         }
         Ok(())
     }
--- a/node/tests/faktory_leases.rs
+++ b/node/tests/faktory_leases.rs
@@ -12,6 +12,7 @@
 };
 use molevale::names::parse_settings;
 use std::time::Duration;
+use tokio::time::Instant;
 
 const JID: &str = "job-00001";
 /// Session of the clients.
@@ -33,6 +34,12 @@
     leases.push(SESSION, job, Bytes::from(text), Intake::Open).unwrap();
 }
 
+/// Reads the final answer to the job that was pushed last under this id.
+fn read_answer(leases: &mut LeaseTable, jid: &str) {
+    let number = leases.track(jid).unwrap().number;
+    leases.answer_read(number, jid);
+}
+
 /// Pushes the first job of a table and has the dispatcher admit it. Returns its number.
 fn push_first_job(leases: &mut LeaseTable) -> JobNumber {
     push_job(leases);
@@ -163,11 +170,131 @@
     for number in 1..=3 {
         leases.job_answered(number, Answer::Failed);
     }
-    leases.answer_read("job-00000");
-    leases.answer_read("job-00002");
+    read_answer(&mut leases, "job-00000");
+    read_answer(&mut leases, "job-00002");
     push_from(&mut leases, 9, "check", "job-00009").unwrap();
     assert_eq!(leases.job_state("job-00000"), None, "safe and read");
     assert!(leases.job_state("job-00001").is_some(), "safe and not read");
     assert!(leases.job_state("job-00002").is_some(), "keyed: a repeat must find it");
     assert_eq!(push_from(&mut leases, 10, "check", "job-00010"), Err(PushError::TableFull));
 }
+
+const REFUSED: Answer = Answer::Shed(Duration::from_millis(500));
+
+/// Pushes a job of class `lodge` under this id; returns its number if it is a new one, which the dispatcher has not admitted.
+fn push_as(leases: &mut LeaseTable, jid: &str) -> JobNumber {
+    let text = faktory_job("lodge", jid, "consignment");
+    leases.push(SESSION, serde_json::from_str(&text).unwrap(), Bytes::from(text), Intake::Open).unwrap();
+    leases.track(jid).unwrap().number
+}
+
+/// The same, accepted.
+fn push_accepted(leases: &mut LeaseTable, jid: &str) -> JobNumber {
+    let number = push_as(leases, jid);
+    leases.job_admitted(number);
+    number
+}
+
+/// A table with a refused job that was pushed under both ids.
+fn table_with_refused_job(ids: [&str; 2]) -> LeaseTable {
+    let mut leases = lease_table();
+    let number = ids.map(|jid| push_accepted(&mut leases, jid))[0];
+    leases.job_answered(number, REFUSED);
+    leases
+}
+
+/// Guards against review 10: the record of a refused job was given up when one of its ids was pushed again. Whichever id that
+/// is, and how often, the others keep their answer until it is read.
+#[tokio::test]
+async fn a_push_again_leaves_the_answers_of_other_ids() {
+    let refused = Some(JobState::Ended(REFUSED));
+    for (case, pushed_again) in
+        [vec!["a"], vec!["b"], vec!["c"], vec!["a", "a"], vec!["c", "d", "c"]].iter().enumerate()
+    {
+        let mut leases = table_with_refused_job(["a", "b"]);
+        if pushed_again[0] == "a" {
+            read_answer(&mut leases, "a");
+        }
+        for jid in pushed_again {
+            let number = push_accepted(&mut leases, jid);
+            assert_eq!(leases.job_state(jid), Some(JobState::Enqueued), "case {case}");
+            leases.job_answered(number, REFUSED);
+        }
+        for jid in ["a", "b"] {
+            assert_eq!(leases.job_state(jid), refused, "case {case}: {jid}");
+            assert!(
+                leases.owes_answers(Instant::now() + Duration::from_secs(1)),
+                "case {case}: a stop waits"
+            );
+            read_answer(&mut leases, jid);
+        }
+    }
+}
+
+/// Guards against review 10 while the newer job runs: an older id hears of the older run, and takes part in the newer one, without
+/// a second execution, once it is pushed again.
+#[tokio::test]
+async fn an_older_id_takes_part_in_the_newer_job_once_it_is_pushed_again() {
+    let mut leases = table_with_refused_job(["a", "b"]);
+    let newer = push_accepted(&mut leases, "a");
+    assert_eq!(leases.job_state("b"), Some(JobState::Ended(REFUSED)));
+    assert_eq!(push_accepted(&mut leases, "b"), newer);
+    assert_eq!((leases.job_state("b"), leases.job_count()), (Some(JobState::Enqueued), 1));
+    leases.job_answered(newer, Answer::Served(Bytes::new()));
+    for jid in ["a", "b"] {
+        assert_eq!(leases.job_state(jid), Some(JobState::Ended(Answer::Served(Bytes::new()))));
+    }
+}
+
+/// Guards against review 10 at a refusal before admission: a push that is answered with an error takes no earlier answer along.
+#[tokio::test]
+async fn a_push_that_is_refused_at_once_leaves_the_answer_of_the_push_before() {
+    let mut leases = table_with_refused_job(["a", "b"]);
+    let newer = push_as(&mut leases, "a");
+    assert_eq!(push_as(&mut leases, "b"), newer);
+    leases.job_answered(newer, REFUSED);
+    for jid in ["a", "b"] {
+        assert_eq!(leases.job_state(jid), Some(JobState::Ended(REFUSED)), "{jid}");
+    }
+    assert_eq!(push_accepted(&mut leases, "c"), push_accepted(&mut leases, "b"), "one job has the key");
+}
+
+/// Guards against an answer that counts as read because that of the run before was read late.
+#[tokio::test]
+async fn a_late_reading_of_an_older_answer_does_not_count_for_the_newer_one() {
+    let mut leases = table_with_refused_job(["a", "b"]);
+    let older = leases.track("a").unwrap().number;
+    let newer = push_accepted(&mut leases, "a");
+    leases.answer_read(older, "a");
+    leases.job_answered(newer, Answer::Failed);
+    read_answer(&mut leases, "b");
+    assert_eq!(leases.unread_count(), 1, "the answer to the newer push is not read");
+}
+
+/// Pushes that are repeated without an end hold no places but those of unread answers, which count in the table.
+#[tokio::test(start_paused = true)]
+async fn repeated_pushes_hold_no_places_without_an_end() {
+    const IDS: usize = 8;
+    let limits = TableLimits { ids: IDS, ..TableLimits::default() };
+    let mut leases = lease_table().with_limits(limits);
+    for repeat in 0..100 {
+        let number = push_accepted(&mut leases, "a");
+        assert_eq!(push_accepted(&mut leases, "b"), number, "repeat {repeat}");
+        leases.job_answered(number, REFUSED);
+        assert!(leases.job_count() <= 2, "repeat {repeat}: {} jobs", leases.job_count());
+    }
+    let mut accepted = 0;
+    for n in 0..IDS {
+        let text = faktory_job("lodge", &format!("other-{n}"), "consignment");
+        let pushed = leases.push(2, serde_json::from_str(&text).unwrap(), Bytes::from(text), Intake::Open);
+        accepted += usize::from(pushed.is_ok());
+        if let Some(job) = leases.track(&format!("other-{n}")) {
+            leases.job_admitted(job.number);
+            leases.job_answered(job.number, REFUSED);
+        }
+    }
+    assert!(accepted < IDS, "unread answers count in the table");
+    tokio::time::advance(Duration::from_secs(61)).await;
+    push_accepted(&mut leases, "late");
+    assert_eq!(leases.job_count(), 1, "all of them have their time");
+}
--- a/node/tests/faktory_repeats.rs
+++ b/node/tests/faktory_repeats.rs
@@ -183,3 +183,30 @@
         assert_eq!(worker.fetch().await.is_some(), runs_again, "{semantics}: pushed after it was served");
     }
 }
+
+/// Guards against review 10 over sessions, for each effect of a class: a push that joined another one keeps its answer when the
+/// other is pushed again, also where the job was served.
+#[tokio::test(start_paused = true)]
+async fn a_push_that_joined_another_keeps_its_answer_when_the_other_is_pushed_again() {
+    for (semantics, is_served) in [("safe", true), ("safe", false), ("keyed", false), ("unsafe", false)] {
+        let (node, _phases) = start(settings_with(semantics));
+        let mut first = FaktoryConnection::connect_client(&node).await;
+        let mut second = FaktoryConnection::connect_client(&node).await;
+        let mut worker = FaktoryConnection::connect_worker(&node, "w1").await;
+        if is_served {
+            worker.send_line("FETCH lodge").await;
+        }
+        assert_eq!(first.push("lodge", JID, KEY).await, "+OK");
+        assert_eq!(second.push("lodge", "job-00002", KEY).await, "+OK");
+        if is_served {
+            assert!(worker.read_reply().await.contains(JID));
+            assert_eq!(worker.ack(JID).await, "+OK");
+        }
+        sleep(Duration::from_millis(8_100)).await;
+        let end_state = if is_served { "served" } else { "refused" };
+        assert_eq!(first.job_state(JID).await, end_state, "{semantics}");
+        assert_eq!(first.push("lodge", JID, KEY).await, "+OK", "{semantics}");
+        assert_eq!(first.job_state(JID).await, "enqueued", "{semantics}: it runs again");
+        assert_eq!(second.job_state("job-00002").await, end_state, "{semantics}");
+    }
+}
