Handover: the decision module gets the time that is left to an adopted request

Callers saw: a request that moved in an upgrade was held up to its deadline and then failed by the dispatcher (`request_unanswered_at_deadline`), where the decision module would have told them that it may be tried again.

Change: `adopt` computes the time left from the deadline, as `submit` does.

--- a/node/src/dispatcher/requests.rs
+++ b/node/src/dispatcher/requests.rs
@@ -44,19 +44,21 @@
         }
     }
 
-    /// Adds a request whose first attempt was sent by the predecessor process.
-    pub(super) fn adopt(&mut self, request: Request, job: F::Job, sent: AttemptStart) {
+    /// Adds a request whose first attempt was sent by the predecessor process. The decision module gets the time that is left
+    /// now, as the request may have waited since its offer.
+    pub(super) fn adopt(&mut self, mut request: Request, job: F::Job, sent: AttemptStart) {
         self.counters.transferred_in.add();
         self.add_in_flight();
         let id = request.id;
         let deadline = self.limited_deadline(request.class, sent.deadline);
+        request.time_left_us = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let attempt =
             self.frontend.send(AttemptId { request: id, attempt: 0 }, &job, sent.worker, sent.deadline);
         let entry = RequestEntry {
             job: Some(job),
             class: request.class,
             deadline,
-            is_deadline_limited: deadline < sent.deadline,
+            is_deadline_limited: false,
             attempts: 1,
             max_attempts: sent.max_attempts,
             last_attempt: Some(sent),
--- a/node/tests/dispatcher.rs
+++ b/node/tests/dispatcher.rs
@@ -8,7 +8,7 @@
 use common::{run_paused, seeded_quickcheck, settings};
 use dispatch_policy::api::{Availability, Endpoint, Outcome, Request, WorkerId};
 use molevale::counters::Counters;
-use molevale::dispatcher::{queue, Answer, AttemptId, Dispatcher, Frontend, Handle};
+use molevale::dispatcher::{queue, Answer, AttemptId, AttemptStart, Dispatcher, Frontend, Handle};
 use molevale::names::parse_settings;
 use quickcheck::{Arbitrary, Gen};
 use std::collections::BTreeMap;
@@ -220,6 +220,40 @@
     task.abort();
 }
 
+/// Guards against `request_unanswered_at_deadline` in a handover: an adopted request waited between its offer and its acceptance,
+/// and the decision module, which was given the time of the offer, held it beyond its deadline.
+#[tokio::test(start_paused = true)]
+async fn an_adopted_request_that_has_waited_is_answered_by_the_decision_module() {
+    const LEFT: Duration = Duration::from_millis(1_383);
+    const WAIT: Duration = Duration::from_millis(150);
+    let (settings, _) = parse_settings(&settings(true, 60_000_000)).unwrap();
+    let (record, counters) = (Arc::new(Mutex::new(Record::default())), Arc::new(Counters::default()));
+    let (handle, inbox) = queue();
+    let dispatcher =
+        Dispatcher::new(settings, 7, RecordingFrontend(record.clone()), counters.clone()).unwrap();
+    let task = tokio::spawn(dispatcher.run(inbox));
+    handle.update_endpoints(vec![endpoint(1, Availability::Ready)], true);
+    settle(&handle, &record).await;
+    let offered_at = Instant::now();
+    sleep(WAIT).await;
+    let start = AttemptStart {
+        worker: WorkerId(1),
+        sent_at: offered_at,
+        started_at: None,
+        deadline: offered_at + LEFT,
+        max_attempts: 3,
+    };
+    handle.adopt(Request { time_left_us: LEFT.as_micros() as u64, ..Request::default() }, 0, start);
+    settle(&handle, &record).await;
+    handle.update_endpoints(vec![endpoint(1, Availability::Draining)], true); // no worker is left for another attempt
+    let (attempt_id, _) = record.lock().unwrap().in_flight.remove(&0).unwrap();
+    handle.ended(attempt_id, Outcome::Error, None, Bytes::new());
+    sleep(LEFT - WAIT).await;
+    let answer = record.lock().unwrap().answers.remove(&0);
+    assert!(matches!(answer, Some(Answer::Shed(_))), "by the decision module: {answer:?}");
+    task.abort();
+}
+
 /// Guards against review 6: an attempt whose worker reports without a pause filled the queue, which has no limit.
 #[tokio::test]
 async fn unread_reports_of_an_attempt_take_one_place_in_the_queue() {
