--- a/node/src/platform/startup.rs
+++ b/node/src/platform/startup.rs
@@ -95,10 +95,7 @@
             counters.clone(),
         );
         let budget = Arc::new(budget);
-        counters.set_usage_source({
-            let budget = Arc::downgrade(&budget);
-            move || budget.upgrade().map_or(ResourceUsage::default(), |budget| budget.usage())
-        });
+        count_usage_of(&budget, &counters);
         let longest_offered_deadline = initial_names.longest_offered_deadline();
         let startup = Startup {
             seed: config.seed,
@@ -239,6 +236,13 @@
     }
 }
 
+/// Lets the counters tell what the budget holds.
+fn count_usage_of(budget: &Arc<ResourceBudget>, counters: &Counters) {
+    let budget = Arc::downgrade(budget);
+    counters
+        .set_usage_source(move || budget.upgrade().map_or(ResourceUsage::default(), |budget| budget.usage()));
+}
+
 /// Adds the classes that open requests of the predecessor may have, so that requests whose class has other rules here can be
 /// continued under their own.
 fn add_open_classes(settings: &watch::Sender<EffectiveSettings>, predecessor: &Predecessor) {
