Decision module: an unknown zone is no place, and a worker's zone is read anew

Callers saw: a job keyed by zone ran in two zones that were opened while the node ran, after its first attempt broke.

Cause: all zones that the settings do not name had one number and compared as equal; a worker's zone was read only at its first entry; the zone of the first attempt was looked up when the request was repeated.

Change: two unknown zones are not the same, each entry of the list sets the place of its worker, and an attempt keeps the place where it ran. Why this works: a repeat needs two known zones that are equal, at the time of the attempt and of the repeat.

--- a/node/src/endpoint_list.rs
+++ b/node/src/endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::stable_hash;
 use crate::names::Names;
-use dispatch_policy::api::{Availability, Endpoint, WorkerId};
+use dispatch_policy::api::{Availability, Endpoint, WorkerId, UNKNOWN_ZONE};
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -109,7 +109,9 @@
         Endpoint {
             worker: self.worker_id(),
             kind: index_of(&names.kinds, &self.machine_type).unwrap_or(0),
-            zone: index_of(&names.zones, &self.zone).unwrap_or(u8::MAX),
+            zone: index_of(&names.zones, &self.zone)
+                .filter(|zone| *zone != UNKNOWN_ZONE)
+                .unwrap_or(UNKNOWN_ZONE),
             cell: self.cell,
             availability: self.phase.into(),
             weight: self.size,
@@ -124,5 +126,5 @@
 
 /// Index of a name in a list of names, which is its number in the decision module.
 fn index_of(names: &[String], name: &str) -> Option<u8> {
-    names.iter().position(|known| known == name).map(|index| index as u8)
+    names.iter().position(|known| known == name).and_then(|index| u8::try_from(index).ok())
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,7 +10,7 @@
 mod validation;
 
 pub use action::{Action, Notice, Reason};
-pub use endpoint::{Availability, Endpoint, LoadReport, WorkerId};
+pub use endpoint::{Availability, Endpoint, LoadReport, WorkerId, UNKNOWN_ZONE};
 pub use event::{AttemptEnd, Event, Outcome, Request};
 pub use settings::{ClassSettings, Idempotency, KeyScope, RetryBudget, Rules, Settings, TenantSettings};
 pub use validation::InvalidSettings;
--- a/src/api/endpoint.rs
+++ b/src/api/endpoint.rs
@@ -17,6 +17,9 @@
     Gone,
 }
 
+/// Zone of a worker whose zone the settings do not name. Two such workers may be in different zones.
+pub const UNKNOWN_ZONE: u8 = u8::MAX;
+
 /// An entry of the endpoint list.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -24,7 +27,7 @@
     pub worker: WorkerId,
     /// Index of its machine type.
     pub kind: u8,
-    /// Index of its zone.
+    /// Index of its zone; [`UNKNOWN_ZONE`] if the settings do not name it.
     pub zone: u8,
     /// Its cell: the group of workers that deduplicate requests by a shared store of idempotency keys.
     pub cell: u32,
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -74,7 +74,6 @@
         *self = Worker {
             id: endpoint.worker,
             kind: KindId::new(usize::from(endpoint.kind)),
-            locality: Some(Locality { zone: endpoint.zone, cell: endpoint.cell }),
             reported_start: endpoint.started_at,
             started_at,
             concurrency: self.concurrency.restarted(),
@@ -183,6 +182,8 @@
             let kind = KindId::new(usize::from(endpoint.kind));
             models.kinds.grow_to(kind, KindHistory::default);
             let worker = self.worker_of_entry(endpoint, earliest_start, now);
+            // Read anew, as the settings may have named its zone since.
+            worker.locality = Some(Locality { zone: endpoint.zone, cell: endpoint.cell });
             worker.apply(endpoint.availability, soft_removal, now);
             let has_valid_weight = endpoint.weight.is_finite() && endpoint.weight > 0.0;
             worker.weight = if has_valid_weight { endpoint.weight } else { 1.0 };
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -176,7 +176,7 @@
             self.settings,
             self.now,
             first.deduplicated_until,
-            self.endpoints.workers[first.worker].locality,
+            first.locality,
             worker.locality,
         )
     }
--- a/src/policy/in_flight.rs
+++ b/src/policy/in_flight.rs
@@ -223,7 +223,7 @@
         if report_timeout.is_unacknowledged || report_timeout.is_queued_behind_others {
             return true;
         }
-        let executed = FirstExecution { worker: attempt.worker, deduplicated_until };
+        let executed = FirstExecution { locality: attempt.locality, deduplicated_until };
         let first_execution = request.first_execution.or(Some(executed));
         self.select_worker(&RequestState { first_execution, ..request }).is_some()
     }
--- a/src/policy/receiving.rs
+++ b/src/policy/receiving.rs
@@ -101,6 +101,7 @@
         let index = self.endpoints.find_or_add(sent.worker);
         self.kinds.grow_to(KindId::default(), KindHistory::default);
         let now = self.now;
+        let locality = self.endpoints.workers[index].locality;
         let Some(request) = self.requests.get_mut(received.id) else { return };
         let sent_at = now.saturating_sub(sent.since_sent_us);
         let started_at = sent.since_started_us.map(|elapsed| now.saturating_sub(elapsed));
@@ -108,8 +109,14 @@
         request.attempts = 1;
         request.max_attempts = max_attempts;
         request.admitted_at = sent_at;
-        request.attempt =
-            Attempt { worker: index, sent_at, started_at, last_report_at: now, ..Attempt::default() };
+        request.attempt = Attempt {
+            worker: index,
+            locality,
+            sent_at,
+            started_at,
+            last_report_at: now,
+            ..Attempt::default()
+        };
         let slots = request.slots;
         let worker = &mut self.endpoints.workers[index];
         worker.concurrency.in_flight += slots;
--- a/src/policy/retrying.rs
+++ b/src/policy/retrying.rs
@@ -17,8 +17,8 @@
         if !outcome.proves_not_executed() && request.first_execution.is_none() {
             let window = self.settings.class(request.class).deduplication_window_us;
             let deduplicated_until = request.attempt.sent_at + window;
-            let worker = request.attempt.worker;
-            request.first_execution = Some(FirstExecution { worker, deduplicated_until });
+            let locality = request.attempt.locality;
+            request.first_execution = Some(FirstExecution { locality, deduplicated_until });
         }
         let request = *request;
         if let Some(reason) = self.give_up_reason(id, &request, outcome) {
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -105,8 +105,14 @@
         let attempt = request.attempts;
         request.status = RequestStatus::InFlight;
         request.attempts += 1;
-        request.attempt =
-            Attempt { worker: index, sent_at: self.now, last_report_at: self.now, ..Attempt::default() };
+        let locality = worker.locality;
+        request.attempt = Attempt {
+            worker: index,
+            locality,
+            sent_at: self.now,
+            last_report_at: self.now,
+            ..Attempt::default()
+        };
         actions.push(Action::Send { id: rank.id, worker: worker.id });
         self.rng.below(1); // advances the sequence, so that the next random choice differs
         if self.settings.handshake_price > 0.0 {
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -1,6 +1,7 @@
 //! Table of open requests, and the order in which admitted requests are sent.
 
 use crate::api::{Micros, RequestId};
+use crate::retry::Locality;
 use crate::table::{ClassId, TenantId, WorkerIndex};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Bound, Index};
@@ -24,6 +25,8 @@
 pub struct Attempt {
     /// Worker that it was sent to.
     pub worker: WorkerIndex,
+    /// Where that worker was then, as far as is known.
+    pub locality: Option<Locality>,
     /// When it was sent.
     pub sent_at: Micros,
     /// When the worker reported its start, if it did.
@@ -43,8 +46,8 @@
 /// The first attempt that may have been executed.
 #[derive(Clone, Copy, Debug)]
 pub struct FirstExecution {
-    /// Worker that it was sent to.
-    pub worker: WorkerIndex,
+    /// Where its worker was when it was sent, as far as is known.
+    pub locality: Option<Locality>,
     /// Until when workers drop duplicates of it.
     pub deduplicated_until: Micros,
 }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,6 +1,6 @@
 //! Retry budget, and the conditions under which a request may be executed again.
 
-use crate::api::{ClassSettings, Idempotency, KeyScope, Micros, Settings};
+use crate::api::{ClassSettings, Idempotency, KeyScope, Micros, Settings, UNKNOWN_ZONE};
 use crate::sliding_count::{Rounding, SlidingCount};
 
 /// Fraction of the budget available to requests whose last attempt was not executed. Their clients can be
@@ -66,12 +66,19 @@
 /// Location of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Locality {
-    /// Zone.
+    /// Zone; [`UNKNOWN_ZONE`] if the settings do not name it.
     pub zone: u8,
     /// Cell.
     pub cell: u32,
 }
 
+impl Locality {
+    /// Whether both are certain to be in the same zone. Unknown zones may be different ones.
+    fn shares_zone_with(self, other: Locality) -> bool {
+        self.zone == other.zone && self.zone != UNKNOWN_ZONE
+    }
+}
+
 /// Returns whether a request may be sent to this worker even though its first attempt, at another worker, may
 /// have been executed. Workers whose location is unknown share their keys only with the whole fleet.
 pub fn may_execute_again(
@@ -90,7 +97,7 @@
     let latest_arrival = now + settings.max_send_delay_us + 2 * settings.clock_resolution_us;
     let shares_keys = match (scope, first, worker) {
         (KeyScope::Fleet, _, _) => true,
-        (KeyScope::Zone, Some(first), Some(worker)) => first.zone == worker.zone,
+        (KeyScope::Zone, Some(first), Some(worker)) => first.shares_zone_with(worker),
         (KeyScope::Cell, Some(first), Some(worker)) => first.cell == worker.cell,
         (KeyScope::Zone | KeyScope::Cell, _, _) => false,
     };
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1006,6 +1006,32 @@
     }
 }
 
+/// Guards against review 7: workers of zones that the settings do not name counted as in one zone, also once the settings name
+/// them and the list has told them again. A keyed request whose first attempt may have run goes to a worker of the same zone only
+/// if both zones are known.
+#[test]
+fn a_request_keyed_by_zone_is_not_repeated_in_a_zone_that_may_be_another_one() {
+    let in_zone = |worker: u64, zone: u8| Endpoint { zone, ..ready_endpoint(worker, 0, 0) };
+    for (zones, is_repeated) in [
+        ([UNKNOWN_ZONE, UNKNOWN_ZONE], false),
+        ([1, UNKNOWN_ZONE], false),
+        ([UNKNOWN_ZONE, 1], false),
+        ([1, 2], false),
+        ([1, 1], true),
+    ] {
+        let classes = vec![class_settings(Idempotency::WithKey(KeyScope::Zone))];
+        let first = in_zone(1, UNKNOWN_ZONE);
+        let mut driver = PolicyDriver::new(policy_settings(classes), vec![first]);
+        driver.handle(Event::EndpointChanges(vec![in_zone(1, zones[0])]));
+        let request = Request { id: 1, time_left_us: 4 * S, ..Request::default() };
+        assert!(sent_to(&driver.handle(Event::RequestReceived(request)), 1).is_some());
+        // The list tells another zone of the first worker while the request runs: where it ran counts.
+        driver.handle(Event::EndpointChanges(vec![in_zone(1, zones[1]), in_zone(2, zones[1])]));
+        let actions = driver.end_attempt(1, 0, Outcome::Error);
+        assert_eq!(sent_to(&actions, 1).is_some(), is_repeated, "zones {zones:?}");
+    }
+}
+
 /// An adopted request keeps the number of attempts with which it was accepted.
 #[test]
 fn an_adopted_request_keeps_its_number_of_attempts() {
