Oracle of the soak: each coming of an id is judged by the settings of its own

Cause: all attempts of an id were judged by the settings of its first request.

Change: two attempts are judged by the strictest effect under which a request was accepted that may have caused one of them: written by then, and not ended before. It is as strict: where the first was safe and the second is unsafe, a repeat is reported now and was not before; where both may have caused it, the stricter effect holds. A test for both directions, which failed before.

--- a/testbed/src/soak/history.rs
+++ b/testbed/src/soak/history.rs
@@ -9,8 +9,8 @@
 /// Time since the run's start.
 pub type Time = Duration;
 
-/// Whether a request may be sent again after an attempt that may have been executed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a request may be sent again after an attempt that may have been executed; a later one is stricter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Semantics {
     /// It may be executed any number of times.
     Safe,
--- a/testbed/src/soak/oracle.rs
+++ b/testbed/src/soak/oracle.rs
@@ -320,7 +320,6 @@
     tolerance: Duration,
 ) -> Vec<Violation> {
     let (first_request, mut violations) = (requests[0], Vec::new());
-    let semantics = semantics_at_acceptance(first_request, history, limits);
     let mut attempts = attempts.to_vec();
     attempts.sort_by_key(|attempt| attempt.first_byte);
     violations.extend(check_repeated_ids(requests, &attempts, history, limits));
@@ -329,6 +328,7 @@
         let came_again = requests.iter().rfind(|r| r.comes_again && r.first_byte <= attempt.first_byte);
         let since = came_again.map_or(Time::ZERO, |request| request.first_byte);
         for earlier in attempts[..n].iter().filter(|earlier| earlier.first_byte >= since) {
+            let semantics = semantics_of_attempts(requests, earlier, attempt, history, limits);
             violations.extend(check_pair(first_request, semantics, earlier, attempt, limits, tolerance));
         }
         if attempt.late_read {
@@ -437,6 +437,24 @@
     is_late.then(|| Violation::Drained { id: request.id.clone(), node, worker, known_at: from, late })
 }
 
+/// Semantics by which two attempts of an id are judged: the strictest under which one of its requests was accepted that may have
+/// caused either of them. A request whose last byte was not written by then, or that ended before, caused none.
+fn semantics_of_attempts(
+    requests: &[&RequestRecord],
+    earlier: &AttemptRecord,
+    later: &AttemptRecord,
+    history: &History,
+    limits: &Limits,
+) -> Semantics {
+    let may_have_caused = |request: &&&RequestRecord| {
+        let is_written = request.written.is_some_and(|written| written <= later.first_byte);
+        is_written && request.ended.is_none_or(|ended| ended + limits.accept_late >= earlier.first_byte)
+    };
+    let accepted = requests.iter().filter(may_have_caused);
+    let strictest = accepted.map(|request| semantics_at_acceptance(request, history, limits)).max();
+    strictest.unwrap_or_else(|| semantics_at_acceptance(requests[0], history, limits))
+}
+
 /// Semantics of the class under which a node has accepted a request. `notify` is unsafe at first; while its effect changes, a
 /// node may follow either rule, and safe requests may be repeated.
 fn semantics_at_acceptance(request: &RequestRecord, history: &History, limits: &Limits) -> Semantics {
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -201,6 +201,50 @@
     assert_eq!(rules(&[(10_200, Semantics::Safe)]), Vec::<&str>::new(), "it may be accepted a little later");
 }
 
+/// Guards against a judgement by the effect under which an id came first, where it came again under another one: the attempts of
+/// each coming are judged by the effect at its own acceptance, and by the stricter of two that may have caused them.
+#[test]
+fn attempts_of_an_id_that_comes_again_are_judged_by_the_effect_of_their_own_request() {
+    let came = |at: u64, written: Option<u64>, ended: u64| RequestRecord {
+        first_byte: ms(at),
+        deadline: ms(60_000),
+        written: written.map(ms),
+        end: if written.is_some() {
+            RequestEnd::Answered { status: 200, is_valid: true }
+        } else {
+            RequestEnd::ClosedUnread
+        },
+        ended: Some(ms(ended)),
+        ..request(Semantics::Unsafe)
+    };
+    let attempts = [(1, 20_010, AttemptEnd::Broken), (2, 20_300, AttemptEnd::Concluded)]
+        .map(|(worker, at, end)| AttemptRecord { sent_deadline: None, ..attempt(worker, at, end) });
+    let rules = |requests: [RequestRecord; 2], changes: &[(u64, Semantics)]| {
+        let change = |(at, semantics): &(u64, Semantics)| SemanticsChange {
+            node: 0,
+            at: ms(*at),
+            semantics: *semantics,
+        };
+        let semantics_changes = changes.iter().map(change).collect();
+        let history = history(requests[0].clone(), attempts.to_vec());
+        violated_rules(&History { requests: requests.to_vec(), semantics_changes, ..history })
+    };
+    let becomes_safe = [(12_000, Semantics::Safe)];
+    let becomes_unsafe = [(1_000, Semantics::Safe), (12_000, Semantics::Unsafe)];
+    let second = || came(20_000, Some(20_000), 20_500);
+    // Unsafe at first, never written; the attempts belong to the second, which is safe.
+    assert_eq!(rules([came(10_000, None, 10_500), second()], &becomes_safe), Vec::<&str>::new());
+    // Written under the unsafe effect, and answered long before the attempts.
+    assert_eq!(rules([came(10_000, Some(10_000), 10_500), second()], &becomes_safe), Vec::<&str>::new());
+    // Safe at first; the attempts belong to the second, which is unsafe.
+    assert_eq!(rules([came(10_000, Some(10_000), 10_500), second()], &becomes_unsafe), ["duplicate"]);
+    // The first, unsafe, is open still: it may have caused the attempts.
+    assert_eq!(rules([came(10_000, Some(10_000), 20_400), second()], &becomes_safe), ["duplicate"]);
+    // The second was never written: the first caused the attempts.
+    let first = came(10_000, Some(10_000), 20_400);
+    assert_eq!(rules([first, came(20_000, None, 20_500)], &becomes_safe), ["duplicate"]);
+}
+
 #[test]
 fn attempt_after_disconnect_drain_or_deadline_is_reported() {
     let disconnected =
