Soak of Faktory: clients that push one job under several ids

One in three jobs is pushed under another id, too; its end is read after the first id was followed to its end and in some cases pushed again. An answer 'this job is unknown' for an accepted id breaks the rule.

--- a/node/tests/soak_faktory.rs
+++ b/node/tests/soak_faktory.rs
@@ -34,6 +34,10 @@
 /// Time after a question within which a client loses its connection; shorter than that in which the node takes a reset for
 /// a lost reply.
 const LOSS_TIME: Duration = Duration::from_millis(10);
+/// One in so many jobs is pushed under another id, too.
+const JOBS_FOR_EACH_OTHER_ID: usize = 3;
+/// Error of a node that has no job under an id.
+const UNKNOWN_JOB: &str = "this job is unknown";
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A connection to the frontend; each call fails once it has ended.
@@ -150,12 +154,45 @@
                 return;
             }
             let jid = format!("job-{number:03}-{n:05}");
-            if self.follow_job(&jid, class, &mut rng).await.is_err() {
+            let other_id = format!("{jid}-again");
+            let other_id = (n % JOBS_FOR_EACH_OTHER_ID == 0).then_some(other_id.as_str());
+            if self.follow_job_with_ids(&jid, other_id, class, &mut rng).await.is_err() {
                 return; // the node has ended; what is missing shows in the records
             }
         }
     }
 
+    /// Pushes a job under an id, and where `other_id` is given under that one, too. Follows the first id to its end, and reads the
+    /// end under the other one after that.
+    async fn follow_job_with_ids(
+        &self,
+        jid: &str,
+        other_id: Option<&str>,
+        class: &str,
+        rng: &mut SmallRng,
+    ) -> io::Result<()> {
+        let Some(other_id) = other_id else { return self.follow_job(jid, class, rng).await };
+        let mut session = Session::open(self.address, None).await?;
+        let push = format!("PUSH {}", faktory_job(class, jid, jid));
+        let push_under_other_id = format!("PUSH {}", faktory_job(class, other_id, jid));
+        if !self.is_accepted(&mut session, &push, jid).await? {
+            return Ok(());
+        }
+        let has_joined = self.is_accepted(&mut session, &push_under_other_id, other_id).await?;
+        self.read_end_and_push_again(&mut session, &push, jid, rng).await?;
+        if has_joined {
+            self.read_end(&mut session, other_id, rng).await?;
+        }
+        Ok(())
+    }
+
+    /// Pushes a job under an id, if it may be pushed now, and returns whether it is accepted.
+    async fn is_accepted(&self, session: &mut Session, push: &str, jid: &str) -> io::Result<bool> {
+        let is_accepted = self.may_push() && session.exchange(push).await? == "+OK";
+        self.update(jid, |job| job.is_accepted |= is_accepted);
+        Ok(is_accepted)
+    }
+
     /// Pushes a job, in some cases again behind a lost connection, reads its end, and in some cases pushes it once more.
     async fn follow_job(&self, jid: &str, class: &str, rng: &mut SmallRng) -> io::Result<()> {
         let push = format!("PUSH {}", faktory_job(class, jid, jid));
@@ -164,13 +201,23 @@
             sleep(Duration::from_millis(rng.random_range(1..1_200))).await;
         }
         let mut session = Session::open(self.address, None).await?;
-        if !self.may_push() || session.exchange(&push).await? != "+OK" {
+        if !self.is_accepted(&mut session, &push, jid).await? {
             return Ok(());
         }
-        self.update(jid, |job| job.is_accepted = true);
-        self.read_end(&mut session, jid, rng).await?;
-        if rng.random_bool(0.3) && self.may_push() && session.exchange(&push).await? == "+OK" {
-            self.read_end(&mut session, jid, rng).await?;
+        self.read_end_and_push_again(&mut session, &push, jid, rng).await
+    }
+
+    /// Reads the end of an accepted job, and in some cases pushes it once more.
+    async fn read_end_and_push_again(
+        &self,
+        session: &mut Session,
+        push: &str,
+        jid: &str,
+        rng: &mut SmallRng,
+    ) -> io::Result<()> {
+        self.read_end(session, jid, rng).await?;
+        if rng.random_bool(0.3) && self.may_push() && session.exchange(push).await? == "+OK" {
+            self.read_end(session, jid, rng).await?;
         }
         Ok(())
     }
@@ -204,6 +251,10 @@
                 Some(session.exchange(&question).await?)
             };
             let Some(reply) = reply else { continue };
+            if reply.contains(UNKNOWN_JOB) {
+                self.update(jid, |job| job.ends.push((Instant::now(), UNKNOWN_JOB.to_string())));
+                return Ok(());
+            }
             let state = serde_json::from_str::<Value>(&reply).unwrap_or_default();
             let Some(answer) = state["answer"].as_str() else { continue };
             self.update(jid, |job| job.ends.push((Instant::now(), answer.to_string())));
@@ -261,6 +312,7 @@
     for (jid, job) in jobs {
         let context = format!("{context}: {jid}, {job:?}");
         assert!(!job.is_accepted || !job.ends.is_empty(), "{context}: its end was not read");
+        assert!(job.ends.iter().all(|(_, end)| end != UNKNOWN_JOB), "{context}: its end was forgotten");
         if semantics == "safe" {
             continue; // a repeat after the end is a job of its own
         }
@@ -283,8 +335,8 @@
     }
 }
 
-/// Guards against reviews 1 and 3 in drawn orders of events: a second execution for a client that pushes again, and ends that
-/// clients cannot read because the node has ended.
+/// Guards against reviews 1, 3 and 10 in drawn orders of events: a second execution for a client that pushes again, ends that
+/// clients cannot read because the node has ended, and ends that are forgotten because the job was pushed under another id again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drawn_faktory_clients_get_one_end_and_no_second_execution() {
     for (seed, semantics) in [(61, "unsafe"), (62, "keyed"), (63, "safe"), (64, "unsafe")] {
