Soak: workers that flood their answers are drawn beside floods

A worker that tells progress without a pause and without an end, drawn from a sequence of its own in place of three in ten other faults of workers, so that the other faults of a seed stay as they are.

--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -19,6 +19,11 @@
 /// XORed with the seed of the faults to get the seed of the changes of settings.
 const SETTINGS_SEED: u64 = 0x5e77;
 
+/// XORed with the seed of the faults to get the seed of the endless answers.
+const ENDLESS_ANSWERS_SEED: u64 = 0xe4d1;
+/// Share of the workers' faults beside floods that are endless answers.
+const ENDLESS_ANSWERS_SHARE: f64 = 0.3;
+
 /// Share of the handovers whose successor is killed.
 const KILLED_SUCCESSOR_SHARE: f64 = 0.2;
 /// Faults of system calls that hold a process up.
@@ -287,9 +292,25 @@
     if spec.profile == Profile::HandoversWithSettings {
         draw_settings_changes(&mut all, seed);
     }
+    if spec.profile.has_floods() {
+        draw_endless_answers(&mut all, seed);
+    }
     all
 }
 
+/// Turns some faults of workers into endless answers. They are drawn from a sequence of their own, so that the other faults of a
+/// seed stay as they are.
+fn draw_endless_answers(all: &mut [PlannedFault], seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ ENDLESS_ANSWERS_SEED);
+    for planned in all {
+        if let FaultKind::Worker { mode, .. } = &mut planned.kind {
+            if rng.random_bool(ENDLESS_ANSWERS_SHARE) {
+                *mode = WorkerMode::EndlessAnswers;
+            }
+        }
+    }
+}
+
 /// Draws the changes of settings from a sequence of their own, so that a seed has the same faults in both profiles.
 fn draw_settings_changes(all: &mut [PlannedFault], seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed ^ SETTINGS_SEED);
--- a/testbed/src/soak/worker.rs
+++ b/testbed/src/soak/worker.rs
@@ -59,6 +59,8 @@
     ClosingIdle,
     /// It returns long results in small pieces.
     SmallPieces,
+    /// It tells progress without a pause and without an end.
+    EndlessAnswers,
     /// It accepts no connections; they wait in its backlog, or are dropped by the kernel.
     NotAccepting,
 }
@@ -71,6 +73,9 @@
 const LONG_RESULT_BYTES: std::ops::Range<u64> = 20_000..60_000;
 const PIECE_BYTES: std::ops::Range<u64> = 8..200;
 
+/// Lines of progress that a worker in mode [`WorkerMode::EndlessAnswers`] writes at once.
+const PROGRESS_LINES_AT_ONCE: usize = 100;
+
 /// A worker; dropping it breaks its connections.
 pub struct SoakWorker {
     /// Address at which it listens.
@@ -342,6 +347,9 @@
         if mode == WorkerMode::Silent {
             std::future::pending::<()>().await;
         }
+        if mode == WorkerMode::EndlessAnswers {
+            return self.send_progress_without_end(writer, id).await;
+        }
         if mode == WorkerMode::Resetting && stage == 1 {
             return Some(if chance < 50 { AfterResponse::Reset } else { AfterResponse::Close });
         }
@@ -369,6 +377,20 @@
         self.send_last_line(writer, id, line).await
     }
 
+    /// Repeats a line of progress until the connection ends.
+    async fn send_progress_without_end(
+        &self,
+        writer: &mut OwnedWriteHalf,
+        id: &str,
+    ) -> Option<AfterResponse> {
+        let line = self.complete_line(id, json!({"state": "running", "share": 0.5})) + "\n";
+        let lines = line.repeat(PROGRESS_LINES_AT_ONCE);
+        let chunk = format!("{:x}\r\n{lines}\r\n", lines.len());
+        loop {
+            writer.write_all(chunk.as_bytes()).await.ok()?;
+        }
+    }
+
     /// Sends the last line in small chunks. The attempt is in flight until the last one.
     async fn send_last_line_in_pieces(
         &self,
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -12,6 +12,7 @@
     draw, draw_limits, FaultKind, HandoverSide, ProcessLimits, Profile, ScheduleSpec, SettingsChange,
     SignalSeries,
 };
+use testbed::soak::worker::WorkerMode;
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -455,3 +456,23 @@
     });
     assert_eq!(floods.collect::<std::collections::BTreeSet<_>>().len(), Flood::ALL.len());
 }
+
+/// Workers whose answers never end are drawn beside floods only, in place of other faults of workers.
+#[test]
+fn endless_answers_are_drawn_beside_floods() {
+    let worker_modes = |profile| -> Vec<WorkerMode> {
+        let drawn = (0..20).flat_map(|seed| draw(&short_spec(profile), seed));
+        let mode = |kind| match kind {
+            FaultKind::Worker { mode, .. } => Some(mode),
+            _ => None,
+        };
+        drawn.filter_map(|planned| mode(planned.kind)).collect()
+    };
+    let is_endless = |mode: &&WorkerMode| **mode == WorkerMode::EndlessAnswers;
+    let beside_floods = worker_modes(Profile::Floods);
+    let endless = beside_floods.iter().filter(is_endless).count();
+    assert!(endless > 0 && endless < beside_floods.len() / 2, "{endless} of {}", beside_floods.len());
+    for profile in [Profile::Mixed, Profile::Handovers, Profile::HandoversWithSettings] {
+        assert_eq!(worker_modes(profile).iter().filter(is_endless).count(), 0, "{profile:?}");
+    }
+}
